Quotas: an estimate of each customer's store, fed by the per-second totals

Change: totals are folded into an estimate of the store, the others' rate of use is foreseen between totals, pushes are spread in time and made rarer when the counter turns calls away, a finished second is read once more while the store is low, lost counts are noticed by a falling total, and a customer whose calls go unanswered is divided by past use.

--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/thistlefall/Gateway.java
@@ -1,7 +1,6 @@
 package thistlefall;
 
 import java.util.*;
-import java.util.function.Predicate;
 import org.ejml.simple.SimpleMatrix;
 import thistlefall.Ports.*;
 
@@ -11,8 +10,7 @@
  * (see docs/design.md); each departure says at its place what it guards against.
  */
 public final class Gateway implements Ports.Events {
-    private static final long MS = 1_000_000L;
-    private static final long SECOND = 1_000 * MS;
+    private static final long MS = 1_000_000L, SECOND = 1_000 * MS;
     private static final double NANO = 1e-9;
     /** Housekeeping: fine against the aims, coarse against the CPU bill. */
     private static final long TICK = 10 * MS;
@@ -20,8 +18,10 @@
     private static final long PUSH = SECOND / 4;
     /** A per-second count must outlive the two seconds in which it is asked for. */
     private static final long COUNT_LIFE = 4 * SECOND;
-    /** This many calls without an answer in a row, and the counter is silent: one may be chance. */
-    private static final int SILENT_AFTER = 3;
+    /** No answer for so long, and the counter is silent: a call or two may be lost by chance. */
+    private static final long SILENT_AFTER = SECOND / 2;
+    /** Memory of the others' rate of use, in seconds: about one window. */
+    private static final double OTHERS_S = 1;
     /** The operator's limit on concurrency: requests in flight for each listed server, over all gateways. */
     private static final double OPEN_PER_SERVER = 8;
     /** Forgetting factor: a memory of some 50 intervals, as long as conditions are seen to last. */
@@ -29,8 +29,7 @@
     /** Bound on the covariance's trace per parameter, so that a quiet spell cannot wind the estimator up. */
     private static final double TRACE = 100;
     /** Actuation penalties: the concurrency loop is the slower of the two. */
-    private static final double Q_SHARE = 0.3;
-    private static final double Q_LEVEL = 1.0;
+    private static final double Q_SHARE = 0.3, Q_LEVEL = 1.0;
     /** Inverse latency is told in aims over latency, this many being 1, to be of one size with the shares. */
     private static final double INVERSE_UNIT = 10;
     /** The level's least part of the operator's limit: two a server keep even a slow fleet busy. */
@@ -38,19 +37,16 @@
     /** No class starves: the smallest share. */
     private static final double MIN_SHARE = 0.02;
     /** Weight of one observation in a server's latency and error averages: about ten answers of memory. */
-    private static final double ALPHA = 0.12;
-    private static final double ALPHA_ERR = 0.2;
+    private static final double ALPHA = 0.12, ALPHA_ERR = 0.2;
     /** A server is an outlier in errors from here on, if it is also well above the others. */
     private static final double EJECT_ERRORS = 0.35;
     /** At most this part of the reachable fleet is ejected for errors; the rest must bear the load. */
     private static final double EJECT_SHARE = 0.5;
-    private static final long EJECT_FIRST = SECOND;
-    private static final long EJECT_MOST = 8 * SECOND;
+    private static final long EJECT_FIRST = SECOND, EJECT_MOST = 8 * SECOND;
     /** Latency of a server not heard from drifts back to the fleet's in this time: it is tried again. */
     private static final double FORGIVE_S = 4;
     /** Further attempts per first attempt, and how many may be saved up. */
-    private static final double RETRY_RATIO = 0.2;
-    private static final double RETRY_MOST = 20;
+    private static final double RETRY_RATIO = 0.2, RETRY_MOST = 20;
     /** An attempt this many times slower than usual is given up where another may follow. */
     private static final double PATIENCE = 6;
 
@@ -65,11 +61,9 @@
     private final Lane[] lanes;
     private final Control control;
     private int inFlight;
-    private double retryTokens = RETRY_MOST;
-    private double drainRate;
+    private double retryTokens = RETRY_MOST, drainRate;
     private int drained;
-    private long nextPush, nextControl;
-    private int unanswered;
+    private long nextControl, answeredAt, pushSpan = PUSH;
     private boolean silent;
     private final Map<Long, ArrayDeque<Call>> calls = new HashMap<>();
 
@@ -81,9 +75,9 @@
         born = now;
         this.now = now;
         lanes = new Lane[cfg.classes().size()];
-        for (int i = 0; i < lanes.length; i++) { lanes[i] = new Lane(i, cfg.classes().get(i)); }
+        for (int i = 0; i < lanes.length; i++) { lanes[i] = new Lane(cfg.classes().get(i)); }
         control = new Control();
-        nextPush = now + PUSH + PUSH * cfg.me() / Math.max(1, cfg.siblings());
+        answeredAt = now;
         nextControl = now + SECOND;
         out.timer(0, TICK);
         if (cfg.limits().askForList()) { out.watchList(); }
@@ -91,16 +85,14 @@
 
     // ---- events -----------------------------------------------------------------------------------------
 
-    @Override
-    public void list(long at, ListKind kind, List<Server> entries) {
+    @Override public void list(long at, ListKind kind, List<Server> entries) {
         now = at;
         if (kind == ListKind.FAILED) {
             out.watchList();
             return;
         }
         if (kind != ListKind.DELTA) {
-            LinkedHashSet<String> named = new LinkedHashSet<>();
-            entries.forEach(e -> named.add(e.id()));
+            List<String> named = entries.stream().map(Server::id).toList();
             servers.values().stream().filter(b -> !named.contains(b.id)).forEach(b -> b.ready = false);
         }
         for (Server entry : entries) { servers.computeIfAbsent(entry.id(), Backend::new).update(entry); }
@@ -108,12 +100,12 @@
         dispatch();
     }
 
-    @Override
-    public void request(long at, Request request) {
+    @Override public void request(long at, Request request) {
         now = at;
         boolean known = request.requestClass() >= 0 && request.requestClass() < lanes.length
             && request.plan() >= 0 && request.plan() < cfg.plans().size();
-        if (!known || jobs.containsKey(request.id())) {
+        if (jobs.containsKey(request.id())) { return; }
+        if (!known) {
             out.refuse(request.id(), 0);
             return;
         }
@@ -127,6 +119,11 @@
         }
         Job job = new Job(request, customer, lane, admission.inQuota);
         jobs.put(request.id(), job);
+        if (job.hopeless()) {
+            // Some come with hardly any time left: the next look at the queue would be too late.
+            giveUp(job);
+            return;
+        }
         if (customer.plan.atOnce() > 0 && customer.open >= customer.openLimit()) {
             customer.parked.add(job);
         } else {
@@ -138,8 +135,7 @@
         dispatch();
     }
 
-    @Override
-    public void attemptEnded(long at, Result result) {
+    @Override public void attemptEnded(long at, Result result) {
         now = at;
         Job job = jobs.get(result.id());
         if (job == null || job.backend == null) { return; }
@@ -166,49 +162,46 @@
         dispatch();
     }
 
-    @Override
-    public void streamStarted(long at, String id) { now = at; }
+    @Override public void streamStarted(long at, String id) { now = at; }
 
-    @Override
-    public void clientGone(long at, String id) {
+    @Override public void clientGone(long at, String id) {
         now = at;
         Job job = jobs.get(id);
-        if (job != null) {
-            job.over = true;
-            if (job.backend == null) {
-                unqueue(job);
-                forget(job);
-            }
+        if (job == null) { return; }
+        job.over = true;
+        if (job.backend == null) {
+            job.lane.queue.remove(job);
+            job.customer.parked.remove(job);
+            forget(job);
         }
     }
 
-    @Override
-    public void counted(long at, long name, Outcome outcome, double total) {
+    @Override public void counted(long at, long name, Outcome outcome, double total) {
         now = at;
         ArrayDeque<Call> pending = calls.get(name);
         Call call = pending == null ? null : pending.poll();
         if (call == null) { return; }
         if (pending.isEmpty()) { calls.remove(name); }
         call.customer.counted(call, outcome, total);
-        unanswered = outcome == Outcome.OK ? 0 : unanswered + 1;
-        if (silent != unanswered >= SILENT_AFTER) {
+        boolean answered = outcome == Outcome.OK;
+        answeredAt = answered ? now : answeredAt;
+        // A crowded counter turns calls away: ask less often, and creep back.
+        pushSpan = answered ? Math.max(PUSH, pushSpan - PUSH / 64) : Math.min(SECOND, pushSpan + PUSH / 16);
+        if (silent != now - answeredAt > SILENT_AFTER) {
             silent = !silent;
             out.log(silent ? "counter silent: quotas divided over gateways" : "counter answers again");
         }
     }
 
-    @Override
-    public void probed(long at, String server, Outcome outcome, long took, List<Double> report) { now = at; }
+    @Override public void probed(long at, String id, Outcome how, long took, List<Double> load) { now = at; }
 
-    @Override
-    public void timer(long at, long token) {
+    @Override public void timer(long at, long token) {
         now = at;
         out.timer(0, TICK);
         for (Lane lane : lanes) { expire(lane.queue); }
-        for (Customer customer : customers.values()) { expire(customer.parked); }
-        if (now >= nextPush) {
-            nextPush += PUSH;
-            customers.values().forEach(Customer::push);
+        for (Customer customer : customers.values()) {
+            expire(customer.parked);
+            customer.push();
         }
         if (now >= nextControl) {
             nextControl += SECOND;
@@ -221,20 +214,20 @@
 
     // ---- admission: quota, ceiling, open cap ------------------------------------------------------------
 
-    private record Admission(boolean admitted, boolean inQuota, double retryAfter) {
-    }
+    private record Admission(boolean admitted, boolean inQuota, double retryAfter) { }
 
-    private record Call(Customer customer, long second, double amount) {
-    }
+    private record Call(Customer customer, Window window, double amount) { }
 
     private long advice(double seconds) {
         return cfg.limits().retryAfter()
             ? Math.min(cfg.limits().maxRetryAfter(), Math.max(0, (long) (seconds * SECOND))) : 0;
     }
 
+    /** What is known of a customer's count of one second: this gateway's part and the others'. */
     private static final class Window {
         private final long second;
-        private double total, mine;
+        private double mine, others;
+        private boolean closed;
 
         Window(long second) { this.second = second; }
     }
@@ -245,53 +238,62 @@
         private final Plan plan;
         private final int gateways;
         private final ArrayDeque<Job> parked = new ArrayDeque<>();
-        private final ArrayDeque<Window> windows = new ArrayDeque<>();
-        private double unpushed, calling, split, ceiling;
-        private long refilled;
+        private Window current = new Window(Long.MIN_VALUE), previous = current;
+        /** The quota's store as estimated here: filled at the rate, less our use, less the others' use. */
+        private double store;
+        /** The others' use: its rate, as of late, and what was taken off the store on its account. */
+        private double othersRate, foreseen, myRate, unpushed, ceiling;
+        private long refilled, heard, askedAt, pushAt, pushedAt;
+        private boolean deaf;
         private int open;
 
         Customer(long key, Request first) {
             this.key = key;
             plan = cfg.plans().get(first.plan());
             gateways = Math.max(1, Math.min(first.setSize(), cfg.siblings()));
-            split = plan.burst() / gateways;
+            store = plan.burst();
             // A restarted gateway cannot know what it spent under the ceiling: it starts with nothing.
             ceiling = 0;
             refilled = born;
+            heard = now;
+            // Pushes are spread in time: all at once they would find the counter's line full.
+            pushAt = now + random.nextLong(PUSH);
         }
 
         int openLimit() { return Math.max(1, plan.atOnce() / gateways); }
 
+        /** This gateway's part of the quota: half an even split, half by who used it of late. */
+        double part() {
+            double all = myRate + othersRate;
+            return 0.5 / gateways + (all > 1e-6 ? 0.5 * myRate / all : 0.5 / gateways);
+        }
+
         void refill() {
             double s = (now - refilled) * NANO;
             refilled = now;
-            split = Math.min(plan.burst() / gateways, split + s * plan.rate() / gateways);
+            boolean blind = gateways > 1
+                && (!cfg.counter().present() || askedAt > 0 && now - askedAt > SILENT_AFTER);
+            if (blind && !deaf) { store = store > 0 ? store * part() : store; }
+            deaf = blind;
+            // The counter rule looks two seconds back only: a long burst would pass it for ever. Instead the
+            // totals feed an estimate of the store. Between totals the others go on as they did; with the
+            // counter silent the quota is divided.
+            double others = s * (deaf ? plan.rate() * (1 - part()) : Math.min(othersRate, plan.rate()));
+            foreseen += others;
+            store = Math.min(plan.burst(), store + s * plan.rate() - others);
             ceiling = Math.min(plan.ceilingBurst() / gateways, ceiling + s * plan.ceilingRate() / gateways);
         }
 
-        /** The counter rule: the last two seconds' totals and what is unpushed stay under rate plus burst. */
-        double room() {
-            if (silent || !cfg.counter().present()) { return split; }
-            long second = now / SECOND;
-            double used = unpushed + calling;
-            for (Window window : windows) {
-                if (window.second >= second - 1) { used += window.total; }
-            }
-            return plan.rate() + plan.burst() - used;
-        }
-
         Admission admit(Request request) {
             refill();
             double units = request.units();
-            if (plan.ceilingRate() > 0) {
-                // The ceiling holds whatever the others do: each gateway keeps to its part of rate and burst.
-                if (ceiling < units) {
-                    return new Admission(false, false, (units - ceiling) * gateways / plan.ceilingRate());
-                }
+            // The ceiling holds whatever the others do: each gateway keeps to its part of rate and burst.
+            if (plan.ceilingRate() > 0 && ceiling < units) {
+                return new Admission(false, false, (units - ceiling) * gateways / plan.ceilingRate());
             }
-            boolean inQuota = plan.rate() <= 0 || room() >= units;
+            boolean inQuota = plan.rate() <= 0 || store >= units;
             if (!inQuota && plan.beyondEarns() <= plan.beyondCosts()) {
-                return new Admission(false, false, (units - room()) / plan.rate());
+                return new Admission(false, false, (units - store) / plan.rate());
             }
             ceiling -= units;
             if (inQuota) { use(units); }
@@ -301,38 +303,68 @@
         void use(double units) {
             if (plan.rate() > 0) {
                 unpushed += units;
-                split -= units;
+                store -= units;
             }
         }
 
-        /** One call a customer with fresh use; while the counter is silent, one to see if it is back. */
+        /** One call for a customer with fresh use, more often when its store runs low. */
         void push() {
-            if (!cfg.counter().present() || Math.abs(unpushed) < 1e-9 || gateways == 1) { return; }
-            if (silent && !calls.isEmpty()) { return; }
+            if (now < pushAt || gateways == 1 || !cfg.counter().present()) { return; }
+            boolean low = store < plan.burst() / 2;
+            pushAt = now + (deaf ? SECOND : pushSpan);
             long second = now / SECOND;
-            while (!windows.isEmpty() && windows.peek().second < second - 1) { windows.poll(); }
-            long name = (key << 29) ^ (second & ((1L << 29) - 1)) & Long.MAX_VALUE;
-            double amount = Math.rint(unpushed * 1e6) * 1e-6;
-            calls.computeIfAbsent(name, n -> new ArrayDeque<>()).add(new Call(this, second, amount));
-            calling += amount;
-            unpushed = 0;
+            if (Math.abs(unpushed) > 1e-6 && (low || now - pushedAt >= SECOND - TICK)) {
+                if (current.second != second) {
+                    previous = current;
+                    current = new Window(second);
+                }
+                double amount = Math.rint(unpushed * 1e6) * 1e-6;
+                myRate += 0.3 * (amount / Math.max(0.2, (now - pushedAt) * NANO) - myRate);
+                pushedAt = now;
+                unpushed = 0;
+                call(current, amount);
+            }
+            // A finished second is read once more: the others' last pushes came after ours.
+            Window last = current.second == second ? previous : current;
+            if (low && !last.closed && last.second >= second - 2 && now % SECOND > SECOND / 4) {
+                last.closed = true;
+                call(last, 0);
+            }
+        }
+
+        private void call(Window window, double amount) {
+            long name = (key << 29) ^ (window.second & ((1L << 29) - 1)) & Long.MAX_VALUE;
+            calls.computeIfAbsent(name, n -> new ArrayDeque<>()).add(new Call(this, window, amount));
+            askedAt = askedAt == 0 ? now : askedAt;
             out.count(name, amount, COUNT_LIFE);
         }
 
         void counted(Call call, Outcome outcome, double total) {
-            calling -= call.amount;
             if (outcome.provesNeverRan()) {
                 unpushed += call.amount;
                 return;
             }
-            Window window = windows.stream().filter(w -> w.second == call.second).findFirst().orElse(null);
-            if (window == null) {
-                window = new Window(call.second);
-                windows.add(window);
-            }
+            Window window = call.window;
+            // Without an answer it may have been added; if it was not, the next total looks like lost counts.
             window.mine += call.amount;
-            // Without an answer the worst is assumed: it was added. A total below our own means lost counts.
-            window.total = outcome == Outcome.OK ? Math.max(total, window.mine) : window.total + call.amount;
+            if (outcome != Outcome.OK) { return; }
+            askedAt = 0;
+            refill();
+            double others = total - window.mine;
+            if (others < window.others - 1e-3) {
+                // Lost counts: what is there now is new since the loss, and tells of the others what it can.
+                window.mine = call.amount;
+                window.others = 0;
+                others = Math.max(0, total - call.amount);
+            }
+            double news = others - window.others;
+            window.others = others;
+            double s = Math.max(0.05, (now - heard) * NANO);
+            heard = now;
+            othersRate += (1 - Math.exp(-s / OTHERS_S)) * (news / s - othersRate);
+            // What was sent beyond the quota took nothing from the store: it cannot be far below nothing.
+            store = Math.max(Math.min(plan.burst(), store - news + foreseen), -cfg.counter().largest());
+            foreseen = 0;
         }
 
         void freed() {
@@ -355,8 +387,7 @@
         private final Lane lane;
         private final boolean inQuota;
         private final long arrived = now;
-        private final double worth;
-        private final double vAtArrival = virtualTime;
+        private final double worth, vAtArrival = virtualTime;
         private boolean open, over;
         private int attempts;
         private Backend backend, lastBackend;
@@ -395,18 +426,14 @@
 
     /** A performance class: its queue, its share, its tags, and what the last interval saw of it. */
     private final class Lane {
-        private final int index;
         private final RequestClass spec;
         private final ArrayDeque<Job> queue = new ArrayDeque<>();
-        private double share, finishTag, service, slow;
-        private double units = 1;
-        private double price = 1;
+        private double share, finishTag, service, slow, units = 1, price = 1;
         private int arrivals, good;
         private double latencySum, waitSum;
         private final List<Double> services = new ArrayList<>();
 
-        Lane(int index, RequestClass spec) {
-            this.index = index;
+        Lane(RequestClass spec) {
             this.spec = spec;
             service = spec.aim() * NANO / 8;
             slow = 2 * service;
@@ -428,7 +455,7 @@
                 services.add(took);
             } else if (result.outcome() != Outcome.CANCELLED && result.outcome() != Outcome.NOT_SENT) {
                 // A failure counts as slow, never as fast: errors must not open the concurrency loop.
-                services.add(Math.max(took, spec.aim() * NANO));
+                services.add(Math.max(took, 2 * spec.aim() * NANO));
             }
         }
 
@@ -457,11 +484,8 @@
         double rate = Math.max(1, drainRate) * lane.share / Math.max(MIN_SHARE, backlogged);
         double budget = Math.max(lane.spec.aim() * NANO - lane.slow, lane.spec.aim() * NANO / 4);
         while (inFlight >= control.level && lane.queue.size() > 1 && lane.queue.size() / rate > budget) {
-            Job least = null;
-            for (Job job : lane.queue) {
-                if (job.attempts == 0 && (least == null || job.worth <= least.worth)) { least = job; }
-            }
-            if (least == null) { return; }
+            Job least = lane.queue.peek();
+            for (Job job : lane.queue) { least = job.worth <= least.worth ? job : least; }
             lane.queue.remove(least);
             giveUp(least);
         }
@@ -484,12 +508,7 @@
                 continue;
             }
             Backend backend = choose(job);
-            if (backend == null) {
-                if (job.mayHaveRunSince == 0) { return; }
-                next.queue.poll();
-                giveUp(job);
-                continue;
-            }
+            if (backend == null) { return; }
             double start = next.startTag();
             next.queue.poll();
             virtualTime = start;
@@ -544,15 +563,10 @@
 
     /** Clips shares to their least and rescales them to sum 1. */
     static double[] rescale(double[] shares) {
-        double[] kept = new double[shares.length];
-        double sum = 0;
-        for (int i = 0; i < kept.length; i++) {
-            double share = Double.isFinite(shares[i]) ? shares[i] : 0;
-            kept[i] = Math.max(MIN_SHARE, Math.min(1, share));
-            sum += kept[i];
-        }
-        for (int i = 0; i < kept.length; i++) { kept[i] /= sum; }
-        return kept;
+        double[] kept = Arrays.stream(shares)
+            .map(u -> Double.isFinite(u) ? Math.max(MIN_SHARE, Math.min(1, u)) : MIN_SHARE).toArray();
+        double sum = Arrays.stream(kept).sum();
+        return Arrays.stream(kept).map(u -> u / sum).toArray();
     }
 
     private static SimpleMatrix column(double... values) {
@@ -562,11 +576,9 @@
     /** The share loop, the slower concurrency loop and the optimizer that feeds both. */
     private final class Control {
         private final int n = lanes.length;
-        private final Rls shareModel = new Rls(2 * n, 3 * n);
-        private final Rls levelModel = new Rls(1, 2);
+        private final Rls shareModel = new Rls(2 * n, 3 * n), levelModel = new Rls(1, 2);
         private double[] lastY;
-        private double lastInverse, lastLevel;
-        private double scale = 1, level = 1, limit = 1;
+        private double lastInverse, lastLevel, scale = 1, level = 1, limit = 1;
         private boolean bound;
 
         /** Until fitted, shares follow worth. */
@@ -707,11 +719,8 @@
         private Server entry;
         private boolean ready;
         private final LinkedHashSet<Job> outstanding = new LinkedHashSet<>();
-        private double latency = 1;
-        private double errors;
-        private long heard = now;
-        private long ejectedUntil;
-        private long ejectSpan = EJECT_FIRST;
+        private double latency = 1, errors;
+        private long heard = now, ejectedUntil, ejectSpan = EJECT_FIRST;
         private boolean probation;
         private double coldBudget;
         private long coldAt = now;
@@ -750,6 +759,11 @@
             return l;
         }
 
+        boolean groupedWith(Backend other, Group group) {
+            Server a = entry, b = other.entry;
+            return group == Group.ZONE ? a.zone() == b.zone() : a.cell() == b.cell();
+        }
+
         double score() {
             double s = foreseen() * (1 + outstanding.size() / weight()) / (1 - Math.min(0.9, errors));
             return entry.zone() == cfg.zone() ? s : s * 1.05;
@@ -808,17 +822,15 @@
     private Backend choose(Job job) {
         RequestClass spec = job.lane.spec;
         boolean bound = job.mayHaveRunSince > 0 && spec.repeat() == Repeat.KEYED && spec.group() != Group.ALL;
-        Predicate<Backend> allowed = b -> b.ready && (!bound || (spec.group() == Group.ZONE
-            ? b.entry.zone() == job.anchor.entry.zone() : b.entry.cell() == job.anchor.entry.cell()));
         Backend best = null;
         Backend fallback = null;
         double bestScore = Double.MAX_VALUE;
         double fallbackScore = Double.MAX_VALUE;
         double perWarm = warmRate();
         for (Backend b : servers.values()) {
-            if (!allowed.test(b) || b.cold() && !coldRoom(b, job, perWarm)) { continue; }
-            double score = b.score();
-            if (b == job.lastBackend) { score *= 4; }
+            boolean grouped = !bound || b.groupedWith(job.anchor, spec.group());
+            if (!b.ready || !grouped || b.cold() && !coldRoom(b, job, perWarm)) { continue; }
+            double score = b == job.lastBackend ? 4 * b.score() : b.score();
             // Back by trickle: one at a time, and only what can be repeated.
             boolean trickle = b.probation && b.ejectedUntil <= now && b.outstanding.isEmpty()
                 && spec.repeat() == Repeat.SAFE && job.attempts == 0;
@@ -906,7 +918,6 @@
 
     /** The one final answer of a request that is not served: refused if that is true, else failed. */
     private void giveUp(Job job) {
-        if (job.attempts == 0 && job.inQuota) { job.customer.use(-job.request.units()); }
         if (job.refusable()) {
             out.refuse(job.request.id(), 0);
         } else {
@@ -915,14 +926,13 @@
         forget(job);
     }
 
-    private void unqueue(Job job) {
-        job.lane.queue.remove(job);
-        job.customer.parked.remove(job);
-        if (job.attempts == 0 && job.inQuota) { job.customer.use(-job.request.units()); }
-    }
-
+    /** The end of a request here; what it took is given back if it was never sent. */
     private void forget(Job job) {
         jobs.remove(job.request.id());
+        if (job.attempts == 0) {
+            job.customer.ceiling += job.request.units();
+            if (job.inQuota) { job.customer.use(-job.request.units()); }
+        }
         if (job.open) {
             job.open = false;
             job.customer.freed();
