Controllers: loops that move, fitted on changes, with the known sign until fitted

Change: the concurrency fit is on changes; a row whose fitted slope has the wrong sign takes the slope that theory knows (throughput in proportion to share, Little's law).

--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/thistlefall/Gateway.java
@@ -29,7 +29,7 @@
     /** Bound on the covariance's trace per parameter, so that a quiet spell cannot wind the estimator up. */
     private static final double TRACE = 100;
     /** Actuation penalties: the concurrency loop is the slower of the two. */
-    private static final double Q_SHARE = 0.3, Q_LEVEL = 1.0;
+    private static final double Q_SHARE = 0.3, Q_LEVEL = 0.7;
     /** Inverse latency is told in aims over latency, this many being 1, to be of one size with the shares. */
     private static final double INVERSE_UNIT = 10;
     /** The level's least part of the operator's limit: two a server keep even a slow fleet busy. */
@@ -95,7 +95,15 @@
             List<String> named = entries.stream().map(Server::id).toList();
             servers.values().stream().filter(b -> !named.contains(b.id)).forEach(b -> b.ready = false);
         }
-        for (Server entry : entries) { servers.computeIfAbsent(entry.id(), Backend::new).update(entry); }
+        for (Server entry : entries) {
+            Backend known = servers.get(entry.id());
+            // What was learned of a server before it started anew tells nothing of it now.
+            boolean anew = known == null || known.entry.startedAt() != entry.startedAt();
+            Backend backend = anew ? new Backend(entry.id()) : known;
+            servers.put(entry.id(), backend);
+            backend.entry = entry;
+            backend.ready = entry.readiness() == Readiness.READY;
+        }
         control.boundLevel();
         dispatch();
     }
@@ -494,12 +502,8 @@
     /** Releases requests by start tag while fewer than the concurrency level are out. */
     private void dispatch() {
         while (inFlight < control.level) {
-            Lane next = null;
-            for (Lane lane : lanes) {
-                if (!lane.queue.isEmpty() && (next == null || lane.startTag() < next.startTag())) {
-                    next = lane;
-                }
-            }
+            Lane next = Arrays.stream(lanes).filter(lane -> !lane.queue.isEmpty())
+                .min(Comparator.comparingDouble(Lane::startTag)).orElse(null);
             if (next == null) { return; }
             Job job = next.queue.peek();
             if (job.hopeless()) {
@@ -530,12 +534,12 @@
             covariance = SimpleMatrix.identity(inputs).scale(TRACE / 10);
         }
 
-        /** Folds one observation in; outputs that are not live keep their parameters. */
-        void update(SimpleMatrix phi, double[] y, boolean[] live) {
+        /** Folds one observation in; outputs that are no number keep their parameters. */
+        void update(SimpleMatrix phi, double... y) {
             SimpleMatrix pPhi = covariance.mult(phi);
             SimpleMatrix gain = pPhi.divide(FORGET + phi.dot(pPhi));
             for (int i = 0; i < y.length; i++) {
-                if (live[i]) {
+                if (!Double.isNaN(y[i])) {
                     double error = y[i] - predict(phi).get(i);
                     for (int j = 0; j < theta.getNumCols(); j++) {
                         theta.set(i, j, theta.get(i, j) + gain.get(j) * error);
@@ -549,8 +553,6 @@
         }
 
         SimpleMatrix predict(SimpleMatrix phi) { return theta.mult(phi); }
-
-        SimpleMatrix columns(int from, int to) { return theta.cols(from, to); }
     }
 
     /** u(k) = (B0'W'WB0 + Q'Q)^-1 (B0'W'W(yref - r) + Q'Q u(k-1)), with W and Q diagonal. */
@@ -578,7 +580,7 @@
         private final int n = lanes.length;
         private final Rls shareModel = new Rls(2 * n, 3 * n), levelModel = new Rls(1, 2);
         private double[] lastY;
-        private double lastInverse, lastLevel, scale = 1, level = 1, limit = 1;
+        private double lastInverse, lastLevel, lastChange, scale = 1, level = 1, limit = 1;
         private boolean bound;
 
         /** Until fitted, shares follow worth. */
@@ -605,18 +607,20 @@
             double total = Arrays.stream(lanes).mapToInt(lane -> lane.good).sum();
             scale += 0.2 * (Math.max(1, total) - scale);
             double[] y = new double[2 * n];
-            boolean[] live = new boolean[2 * n];
+            double[] seen = new double[2 * n];
             for (int i = 0; i < n; i++) {
                 Lane lane = lanes[i];
                 // An idle class tells nothing: its rows keep their fit.
-                live[i] = live[n + i] = lane.good > 0;
+                boolean live = lane.good > 0;
                 y[i] = lane.good / scale;
                 double inverse = lane.spec.aim() * NANO * lane.good / Math.max(1e-6, lane.latencySum);
-                y[n + i] = live[i] ? Math.min(1, inverse / INVERSE_UNIT) : lastY == null ? 0 : lastY[n + i];
+                y[n + i] = live ? Math.min(1, inverse / INVERSE_UNIT) : lastY == null ? 0 : lastY[n + i];
+                seen[i] = live ? y[i] : Double.NaN;
+                seen[n + i] = live ? y[n + i] : Double.NaN;
             }
-            if (lastY != null && total > 0) { shareModel.update(regressor(lastY, shares()), y, live); }
+            if (lastY != null && total > 0) { shareModel.update(regressor(lastY, shares()), seen); }
             lastY = y;
-            if (shareModel.updates >= 3 * n) { steerShares(y, optimize(y), live); }
+            if (shareModel.updates >= 3 * n) { steerShares(y, seen); }
             steerLevel();
             for (Lane lane : lanes) { lane.resetInterval(); }
         }
@@ -627,11 +631,11 @@
             return column(phi);
         }
 
-        /** Worth a second of class i if its share were grown: all by the aim, the late part after it. */
-        private double utility(double[] y, double[] s, int i, double grant) {
+        /** Worth a second of class i at what the model y = r + B0 s foresees, late answers at their part. */
+        private double utility(SimpleMatrix r, SimpleMatrix b0, double[] s, int i, double grant) {
             double[] tried = s.clone();
             tried[i] += grant;
-            SimpleMatrix x = shareModel.predict(regressor(y, tried));
+            SimpleMatrix x = r.plus(b0.mult(column(tried)));
             Lane lane = lanes[i];
             double served = Math.min(Math.max(0, x.get(i)) * scale, lane.arrivals);
             double late = lane.spec.lateValue();
@@ -639,10 +643,9 @@
             return lane.spec.worth() * lane.price * served * timely;
         }
 
-        /** The greedy optimizer of the paper's figure 4, for one gateway. */
-        private SimpleMatrix optimize(double[] y) {
-            double[] s = new double[n];
-            double[] current = new double[n];
+        /** The greedy optimizer of the paper's figure 4, for one gateway: the references. */
+        private SimpleMatrix optimize(SimpleMatrix r, SimpleMatrix b0) {
+            double[] s = new double[n], current = new double[n];
             Arrays.fill(current, Double.NEGATIVE_INFINITY);
             double step = Math.max(MIN_SHARE, 1 / Math.max(1, scale));
             for (double given = 0; given < 1 - 1e-9;) {
@@ -650,9 +653,9 @@
                 double bestGain = Double.NEGATIVE_INFINITY, bestGrant = step;
                 for (int i = 0; i < n; i++) {
                     double grant = step;
-                    while (utility(y, s, i, grant) <= current[i] && given + grant <= 1) { grant += step; }
+                    while (utility(r, b0, s, i, grant) <= current[i] && given + grant <= 1) { grant += step; }
                     grant = given + grant > 1 ? step : grant;
-                    double gain = (utility(y, s, i, grant) - Math.max(0, current[i])) / grant;
+                    double gain = (utility(r, b0, s, i, grant) - Math.max(0, current[i])) / grant;
                     if (gain > bestGain) {
                         best = i;
                         bestGain = gain;
@@ -661,23 +664,28 @@
                 }
                 s[best] += bestGrant;
                 given += bestGrant;
-                current[best] = utility(y, s, best, 0);
+                current[best] = utility(r, b0, s, best, 0);
             }
-            return shareModel.predict(regressor(y, rescale(s)));
+            return r.plus(b0.mult(column(rescale(s))));
         }
 
-        private void steerShares(double[] y, SimpleMatrix references, boolean[] live) {
-            SimpleMatrix b0 = shareModel.columns(2 * n, 3 * n).copy();
+        private void steerShares(double[] y, double[] seen) {
+            double[] u = shares();
+            SimpleMatrix b0 = shareModel.theta.cols(2 * n, 3 * n).copy();
+            SimpleMatrix r = shareModel.predict(regressor(y, new double[n]));
             SimpleMatrix w = new SimpleMatrix(2 * n, 2 * n);
             double most = Arrays.stream(lanes).mapToDouble(l -> l.spec.worth() * l.price).max().orElse(1);
             for (int i = 0; i < 2 * n; i++) {
-                // A share that seems to hurt its own class is noise: that row steers nothing.
-                boolean sound = live[i] && b0.get(i, i % n) > 0;
+                if (b0.get(i, i % n) <= 0) {
+                    // Noise, or never varied: until the fit has the known sign, in proportion to the share.
+                    for (int j = 0; j < n; j++) { b0.set(i, j, j == i % n ? y[i] / u[j] : 0); }
+                    r.set(i, 0, 0);
+                }
                 Lane lane = lanes[i % n];
-                w.set(i, i, sound ? Math.sqrt(lane.spec.worth() * lane.price / Math.max(1e-9, most)) : 0);
+                double weight = Math.sqrt(lane.spec.worth() * lane.price / Math.max(1e-9, most));
+                w.set(i, i, Double.isNaN(seen[i]) ? 0 : weight);
             }
-            SimpleMatrix r = shareModel.predict(regressor(y, new double[n]));
-            setShares(controlLaw(b0, w, Q_SHARE, references, r, column(shares())).getDDRM().getData());
+            setShares(controlLaw(b0, w, Q_SHARE, optimize(r, b0), r, column(u)).getDDRM().getData());
         }
 
         /** Sets concurrency so that slow answers of the tightest class come within its aim less its wait. */
@@ -689,19 +697,20 @@
             double aim = tight.spec.aim() * NANO;
             double inverse = aim / sorted[(int) (0.9 * (sorted.length - 1))];
             double u = level / limit;
-            if (lastInverse > 0 && bound) {
-                levelModel.update(column(lastInverse, u), new double[] {inverse}, new boolean[] {true});
+            if (lastInverse > 0 && bound && u != lastLevel) {
+                levelModel.update(column(lastChange, u - lastLevel), inverse - lastInverse);
             }
+            lastChange = lastInverse > 0 ? inverse - lastInverse : 0;
+            lastLevel = u;
             double wait = tight.good == 0 ? 0 : tight.waitSum / tight.good;
-            SimpleMatrix b0 = levelModel.columns(1, 2);
-            if (!bound) {
-                // The level did not bind: nothing was learned, and it drifts back to the operator's limit.
-                u += (1 - u) / 2;
-            } else if (levelModel.updates >= 3 && b0.get(0) < 0) {
-                SimpleMatrix yref = column(aim / Math.max(aim / 4, aim - wait));
-                SimpleMatrix r = levelModel.columns(0, 1).scale(inverse);
-                u = controlLaw(b0, SimpleMatrix.identity(1), Q_LEVEL, yref, r, column(u)).get(0);
-            }
+            // Fitted on changes: an unvaried level tells nothing. Until the fit has the known sign, Little's
+            // law gives the slope: latency in proportion to what is out.
+            double fit = levelModel.theta.cols(1, 2).get(0);
+            SimpleMatrix b0 = column(levelModel.updates >= 3 && fit < 0 ? fit : -inverse / u);
+            SimpleMatrix yref = column(aim / Math.max(aim / 4, aim - wait));
+            SimpleMatrix r = column(inverse - b0.get(0) * u), last = column(u);
+            // A level that did not bind tells nothing; it drifts back to the operator's limit.
+            u = bound ? controlLaw(b0, column(1), Q_LEVEL, yref, r, last).get(0) : (u + 1) / 2;
             lastInverse = inverse;
             bound = false;
             u = Double.isFinite(u) ? Math.max(MIN_LEVEL, Math.min(1, u)) : 1;
@@ -727,18 +736,6 @@
 
         Backend(String id) { this.id = id; }
 
-        void update(Server next) {
-            if (entry != null && next.startedAt() != entry.startedAt()) {
-                latency = 1;
-                errors = 0;
-                ejectedUntil = 0;
-                probation = false;
-                coldBudget = 0;
-            }
-            entry = next;
-            ready = next.readiness() == Readiness.READY;
-        }
-
         boolean cold() { return entry.startedAt() > 0 && now - entry.startedAt() < cfg.rules().coldSpan(); }
 
         double warmth() {
