Queue: no first attempt without time to be answered in

Change: a first attempt needs 1.5 times its usual span before its aim, else it is refused. Should also cover slow fleets and small levels; does harm where the usual span is overestimated, as after a slow spell.

--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/thistlefall/Gateway.java
@@ -50,6 +50,9 @@
     /** An attempt this many times slower than usual is given up where another may follow. */
     private static final double PATIENCE = 6;
 
+    /** A first attempt needs this many times its usual span before its aim, or it is likely wasted. */
+    private static final double MARGIN = 1.5;
+
     private final Settings cfg;
     private final Actions out;
     private final SplittableRandom random;
@@ -112,11 +115,8 @@
         now = at;
         boolean known = request.requestClass() >= 0 && request.requestClass() < lanes.length
             && request.plan() >= 0 && request.plan() < cfg.plans().size();
-        if (jobs.containsKey(request.id())) { return; }
-        if (!known) {
-            out.refuse(request.id(), 0);
-            return;
-        }
+        if (!known) { out.refuse(request.id(), 0); }
+        if (!known || jobs.containsKey(request.id())) { return; }
         Customer customer = customers.computeIfAbsent(request.customer(), key -> new Customer(key, request));
         Lane lane = lanes[request.requestClass()];
         lane.arrivals++;
@@ -415,7 +415,7 @@
 
         /** Too late to be sent for the first time and answered within its aim. */
         boolean hopeless() {
-            long need = attempts == 0 ? (long) (lane.service * SECOND / 2) : 0;
+            long need = attempts == 0 ? (long) (MARGIN * cost() * SECOND) : 0;
             return now + Math.max(need, 2 * TICK + cfg.tick()) >= aimAt();
         }
 
