Unknown is not none: the queue's rate at the start, a customer's part in silence

Found by unit tests of the fair queue and of the silent counter. Before the first interval the served rate was taken as none, so all but one waiting request were refused; now Little's law tells it. A customer of whom the counter never told anything counted as all ours, so that three gateways took twice its quota; now use by others and by us are learned together, and an even split stands until then. Both tests fail without the change. Tests of the five rules and of the laws are added.

--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/thistlefall/Gateway.java
@@ -250,7 +250,7 @@
         /** The quota's store as estimated here: filled at the rate, less our use, less the others' use. */
         private double store;
         /** The others' use: its rate, as of late, and what was taken off the store on its account. */
-        private double othersRate, foreseen, myRate, unpushed, ceiling;
+        private double othersRate, foreseen, myRate, pushed, unpushed, ceiling;
         private long refilled, heard, askedAt, pushAt, pushedAt;
         private boolean deaf;
         private int open;
@@ -260,8 +260,7 @@
             plan = cfg.plans().get(first.plan());
             gateways = Math.max(1, Math.min(first.setSize(), cfg.siblings()));
             store = plan.burst();
-            // A restarted gateway cannot know what it spent under the ceiling: it starts with nothing.
-            ceiling = 0;
+            // A restarted gateway cannot know what it spent under the ceiling: that starts with nothing.
             refilled = born;
             heard = now;
             // Pushes are spread in time: all at once they would find the counter's line full.
@@ -327,7 +326,7 @@
                     current = new Window(second);
                 }
                 double amount = Math.rint(unpushed * 1e6) * 1e-6;
-                myRate += 0.3 * (amount / Math.max(0.2, (now - pushedAt) * NANO) - myRate);
+                pushed += amount;
                 pushedAt = now;
                 unpushed = 0;
                 call(current, amount);
@@ -369,7 +368,10 @@
             window.others = others;
             double s = Math.max(0.05, (now - heard) * NANO);
             heard = now;
-            othersRate += (1 - Math.exp(-s / OTHERS_S)) * (news / s - othersRate);
+            double gain = 1 - Math.exp(-s / OTHERS_S);
+            othersRate += gain * (news / s - othersRate);
+            myRate += gain * (pushed / s - myRate);
+            pushed = 0;
             // What was sent beyond the quota took nothing from the store: it cannot be far below nothing.
             store = Math.max(Math.min(plan.burst(), store - news + foreseen), -cfg.counter().largest());
             foreseen = 0;
@@ -468,10 +470,8 @@
         }
 
         void resetInterval() {
-            arrivals = 0;
-            good = 0;
-            latencySum = 0;
-            waitSum = 0;
+            arrivals = good = 0;
+            latencySum = waitSum = 0;
             services.clear();
         }
     }
@@ -489,7 +489,9 @@
     private void relieve(Lane lane) {
         double backlogged = 0;
         for (Lane other : lanes) { backlogged += other.queue.isEmpty() ? 0 : other.share; }
-        double rate = Math.max(1, drainRate) * lane.share / Math.max(MIN_SHARE, backlogged);
+        // Before the first interval is over Little's law tells the rate; none known is not none served.
+        double all = drainRate > 0 ? drainRate : control.level / lane.service;
+        double rate = all * lane.share / Math.max(MIN_SHARE, backlogged);
         double budget = Math.max(lane.spec.aim() * NANO - lane.slow, lane.spec.aim() * NANO / 4);
         while (inFlight >= control.level && lane.queue.size() > 1 && lane.queue.size() / rate > budget) {
             Job least = lane.queue.peek();
--- /dev/null
+++ b/src/test/java/thistlefall/Host.java
@@ -0,0 +1,145 @@
+package thistlefall;
+
+import java.util.ArrayList;
+import java.util.List;
+import thistlefall.Ports.Actions;
+import thistlefall.Ports.Counter;
+import thistlefall.Ports.Group;
+import thistlefall.Ports.Limits;
+import thistlefall.Ports.ListKind;
+import thistlefall.Ports.Outcome;
+import thistlefall.Ports.Plan;
+import thistlefall.Ports.Readiness;
+import thistlefall.Ports.Repeat;
+import thistlefall.Ports.Request;
+import thistlefall.Ports.RequestClass;
+import thistlefall.Ports.Result;
+import thistlefall.Ports.Rules;
+import thistlefall.Ports.Server;
+import thistlefall.Ports.Settings;
+
+/** A host under the test's control: writes down what one gateway asks for and calls its events. */
+final class Host implements Actions {
+    static final long MS = 1_000_000L;
+    static final int SAFE = 0;
+    static final int KEYED_CELL = 1;
+    static final int UNSAFE = 2;
+    static final int KEYED_ALL = 3;
+    static final Plan FREE = new Plan(0, 0, 0, 1, 0, 0, 0, 0, 0);
+
+    record Sent(String id, String server, long patience) {
+    }
+
+    record Counted(long name, double amount) {
+    }
+
+    final List<Sent> sent = new ArrayList<>();
+    final List<String> refused = new ArrayList<>();
+    final List<String> failed = new ArrayList<>();
+    final List<Counted> counted = new ArrayList<>();
+    final List<String> logs = new ArrayList<>();
+    final Gateway gateway;
+    long now = 1_000 * MS;
+    private int ids;
+
+    Host(Plan plan, int siblings, int me) {
+        this(plan, siblings, me, true);
+    }
+
+    Host(Plan plan, int siblings, int me, boolean counter) {
+        gateway = new Gateway(settings(plan, siblings, me, counter), 7, now, this);
+    }
+
+    static Settings settings(Plan plan, int siblings, int me, boolean counter) {
+        return new Settings(me, siblings, 0, MS, true, List.of(), List.of(
+            new RequestClass(1000 * MS, 3000 * MS, Repeat.SAFE, Group.ALL, 0, 0, 1),
+            new RequestClass(1000 * MS, 2000 * MS, Repeat.KEYED, Group.CELL, 700 * MS, 0.2, 4),
+            new RequestClass(1000 * MS, 3000 * MS, Repeat.UNSAFE, Group.ALL, 0, 0.2, 3),
+            new RequestClass(1000 * MS, 3000 * MS, Repeat.KEYED, Group.ALL, 700 * MS, 0, 4)),
+            List.of(plan), new Limits(4, 1000, false, false, 0, false),
+            new Counter(counter, 50 * MS, true, 4), new Rules(10 * MS, 0.25, 10_000 * MS, 3, 2_000 * MS));
+    }
+
+    /** Servers a, b, c ... of two cells, ready since long ago. */
+    Host servers(int count) {
+        for (int i = 0; i < count; i++) {
+            server(String.valueOf((char) ('a' + i)), i % 2, Readiness.READY, 0);
+        }
+        return this;
+    }
+
+    void server(String id, int cell, Readiness readiness, long startedAt) {
+        gateway.list(now, ListKind.DELTA, List.of(new Server(id, 1, cell, cell, 0, readiness, startedAt)));
+    }
+
+    String request(int requestClass, double units) {
+        return request(requestClass, 0, 1, units, now + 3000 * MS);
+    }
+
+    String request(int requestClass, int plan, long customer, double units, long deadline) {
+        String id = "r" + ids++;
+        gateway.request(now, new Request(id, requestClass, plan, customer, deadline, units, 3, 0, false));
+        return id;
+    }
+
+    /** Ends the newest attempt of a request. */
+    void end(String id, Outcome outcome) {
+        end(id, outcome, outcome == Outcome.OK);
+    }
+
+    void end(String id, Outcome outcome, boolean complete) {
+        Sent last = attempts(id).get(attempts(id).size() - 1);
+        gateway.attemptEnded(now, new Result(id, outcome, 20 * MS, last.server(), complete,
+            attempts(id).size() - 1, 0, List.of()));
+    }
+
+    List<Sent> attempts(String id) {
+        return sent.stream().filter(s -> s.id().equals(id)).toList();
+    }
+
+    /** Lets time pass, with the timer as often as it was asked for. */
+    void pass(long span) {
+        for (long until = now + span; now < until;) {
+            now += Math.min(10 * MS, until - now);
+            gateway.timer(now, 0);
+        }
+    }
+
+    @Override
+    public void send(String id, String server, long patience) {
+        sent.add(new Sent(id, server, patience));
+    }
+
+    @Override
+    public void refuse(String id, long retryAfter) {
+        refused.add(id);
+    }
+
+    @Override
+    public void fail(String id) {
+        failed.add(id);
+    }
+
+    @Override
+    public void probe(String server) {
+        throw new AssertionError("probes are not allowed here");
+    }
+
+    @Override
+    public void count(long name, double amount, long lifetime) {
+        counted.add(new Counted(name, amount));
+    }
+
+    @Override
+    public void timer(long token, long span) {
+    }
+
+    @Override
+    public void watchList() {
+    }
+
+    @Override
+    public void log(String text) {
+        logs.add(text);
+    }
+}
--- /dev/null
+++ b/src/test/java/thistlefall/MechanismTest.java
@@ -0,0 +1,180 @@
+package thistlefall;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static thistlefall.Host.MS;
+import static thistlefall.Host.SAFE;
+import static thistlefall.Host.UNSAFE;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.ejml.simple.SimpleMatrix;
+import org.junit.jupiter.api.Test;
+import thistlefall.Ports.Outcome;
+import thistlefall.Ports.Plan;
+import thistlefall.Ports.Request;
+
+/** The laws and the counter rule on their own terms. */
+class MechanismTest {
+    @Test
+    void leastSquaresRecoverAKnownPlant() {
+        double[][] plant = {{0.5, 0.2, 1.5}, {-0.1, 0.4, 0.7}};
+        Gateway.Rls rls = new Gateway.Rls(2, 3);
+        SplittableRandom random = new SplittableRandom(3);
+        for (int k = 0; k < 300; k++) {
+            SimpleMatrix phi = new SimpleMatrix(3, 1, true, random.nextDouble(), random.nextDouble(),
+                random.nextDouble());
+            SimpleMatrix y = new SimpleMatrix(plant).mult(phi);
+            rls.update(phi, y.get(0), y.get(1));
+        }
+        SimpleMatrix probe = new SimpleMatrix(3, 1, true, 1, 2, 3);
+        SimpleMatrix truth = new SimpleMatrix(plant).mult(probe);
+        assertEquals(truth.get(0), rls.predict(probe).get(0), 1e-3);
+        assertEquals(truth.get(1), rls.predict(probe).get(1), 1e-3);
+    }
+
+    @Test
+    void anIdleOutputKeepsItsFit() {
+        Gateway.Rls rls = new Gateway.Rls(2, 1);
+        SimpleMatrix one = new SimpleMatrix(1, 1, true, 1);
+        for (int k = 0; k < 50; k++) {
+            rls.update(one, 2, 5);
+        }
+        double before = rls.predict(one).get(1);
+        for (int k = 0; k < 50; k++) {
+            rls.update(one, 2, Double.NaN);
+        }
+        assertEquals(before, rls.predict(one).get(1));
+    }
+
+    @Test
+    void shareLawMovesTowardsTheReferenceAndSumsToOne() {
+        SimpleMatrix b0 = SimpleMatrix.identity(2);
+        SimpleMatrix last = new SimpleMatrix(2, 1, true, 0.5, 0.5);
+        SimpleMatrix yref = new SimpleMatrix(2, 1, true, 0.8, 0.2);
+        SimpleMatrix u = Gateway.controlLaw(b0, SimpleMatrix.identity(2), 0.5, yref, new SimpleMatrix(2, 1), last);
+        double[] shares = Gateway.rescale(new double[] {u.get(0), u.get(1)});
+        assertTrue(shares[0] > 0.5 && shares[0] < 0.8);
+        assertEquals(1, Arrays.stream(shares).sum(), 1e-9);
+        double[] odd = Gateway.rescale(new double[] {Double.NaN, -3, 7});
+        assertEquals(1, Arrays.stream(odd).sum(), 1e-9);
+        assertTrue(Arrays.stream(odd).allMatch(s -> s > 0));
+    }
+
+    @Test
+    void fairQueueServesByShare() {
+        Host host = new Host(Host.FREE, 1, 0).servers(1);
+        Set<String> unsafe = new HashSet<>();
+        for (int i = 0; i < 8; i++) {
+            host.request(UNSAFE, 1);
+        }
+        for (int i = 0; i < 30; i++) {
+            unsafe.add(host.request(UNSAFE, 1));
+            if (i % 3 == 0) {
+                host.request(SAFE, 1);
+            }
+        }
+        assertEquals(8, host.sent.size(), "the operator's limit of one server");
+        // As each ends the next is released. Worth 1 to 3: one safe for three unsafe.
+        int ofUnsafe = 0;
+        for (int next = 0; next < 24; next++) {
+            host.end(host.sent.get(next).id(), Outcome.OK);
+            ofUnsafe += unsafe.contains(host.sent.get(next + 8).id()) ? 1 : 0;
+        }
+        assertEquals(18, ofUnsafe, 2, "served by share within one round");
+    }
+
+    /** A counter that all gateways of a test share. */
+    private static final class SharedCounter {
+        private final Map<Long, Double> totals = new HashMap<>();
+
+        void answer(List<Host> hosts) {
+            for (Host host : hosts) {
+                List<Host.Counted> calls = new ArrayList<>(host.counted);
+                host.counted.clear();
+                for (Host.Counted call : calls) {
+                    double total = totals.merge(call.name(), call.amount(), Double::sum);
+                    host.gateway.counted(host.now, call.name(), Outcome.OK, total);
+                }
+            }
+        }
+    }
+
+    private static double heavyUse(boolean counterAnswers, int seconds) {
+        Plan plan = new Plan(10, 30, 0, 1, 0, 1, 0, 0, 0);
+        List<Host> hosts = new ArrayList<>();
+        for (int me = 0; me < 3; me++) {
+            hosts.add(new Host(plan, 3, me).servers(20));
+        }
+        SharedCounter counter = new SharedCounter();
+        for (int tick = 0; tick < 100 * seconds; tick++) {
+            for (Host host : hosts) {
+                host.pass(10 * MS);
+                if (tick % 5 == 0) {
+                    String id = host.request(SAFE, 1);
+                    if (!host.attempts(id).isEmpty()) {
+                        host.end(id, Outcome.OK);
+                    }
+                }
+            }
+            if (counterAnswers) {
+                counter.answer(hosts);
+            }
+        }
+        return hosts.stream().mapToInt(host -> host.sent.size()).sum();
+    }
+
+    @Test
+    void aCustomerStaysInQuotaOverAllGateways() {
+        // Asked for: 60 a second for 20 s. The quota holds 30 + 10 a second; the last totals are late.
+        double used = heavyUse(true, 20);
+        assertTrue(used <= 1.2 * (30 + 10 * 20), "used " + used);
+        assertTrue(used >= 0.8 * (30 + 10 * 20), "used " + used);
+    }
+
+    @Test
+    void withTheCounterSilentTheQuotaIsDivided() {
+        double used = heavyUse(false, 20);
+        // Each may have let the whole burst in before the silence is noticed.
+        assertTrue(used <= 3 * 30 + 10 * 20, "used " + used);
+        assertTrue(used >= 0.7 * (30 + 10 * 20), "used " + used);
+    }
+
+    @Test
+    void pushesAreSpreadInTime() {
+        Host host = new Host(new Plan(10, 30, 0, 1, 0, 1, 0, 0, 0), 3, 0).servers(20);
+        HashSet<Long> moments = new HashSet<>();
+        for (int customer = 0; customer < 40; customer++) {
+            host.gateway.request(host.now, new Request("c" + customer, SAFE, 0, customer,
+                host.now + 3000 * MS, 2, 3, 0, false));
+        }
+        for (int tick = 0; tick < 200; tick++) {
+            int before = host.counted.size();
+            host.pass(10 * MS);
+            if (host.counted.size() > before) {
+                moments.add(host.now);
+            }
+        }
+        assertTrue(moments.size() >= 10, "pushed at " + moments.size() + " moments");
+    }
+
+    @Test
+    void oddInputIsAnswered() {
+        Host host = new Host(Host.FREE, 1, 0, false);
+        host.request(9, 1);
+        host.request(SAFE, 5, 1, 1, host.now + 3000 * MS);
+        assertEquals(2, host.refused.size());
+        host.gateway.attemptEnded(host.now, new Ports.Result("nobody", Outcome.OK, 1, "x", true, 0, 0, List.of()));
+        host.gateway.clientGone(host.now, "nobody");
+        host.gateway.counted(host.now, 5, Outcome.OK, 3);
+        host.servers(1);
+        host.request(SAFE, 0);
+        assertEquals(1, host.sent.size());
+    }
+}
--- /dev/null
+++ b/src/test/java/thistlefall/RulesTest.java
@@ -0,0 +1,179 @@
+package thistlefall;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static thistlefall.Host.KEYED_ALL;
+import static thistlefall.Host.KEYED_CELL;
+import static thistlefall.Host.MS;
+import static thistlefall.Host.SAFE;
+import static thistlefall.Host.UNSAFE;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import thistlefall.Ports.ListKind;
+import thistlefall.Ports.Outcome;
+import thistlefall.Ports.Plan;
+import thistlefall.Ports.Readiness;
+
+/** The five rules at their edges. */
+class RulesTest {
+    private final Host host = new Host(Host.FREE, 3, 0);
+
+    @Test
+    void queuedPastItsTimeIsRefusedBeforeTheDeadline() {
+        String id = host.request(SAFE, 1);
+        assertEquals(List.of(), host.sent);
+        host.pass(1000 * MS);
+        assertEquals(List.of(id), host.refused);
+    }
+
+    @Test
+    void shortDeadlineBehindALongOneIsAnsweredToo() {
+        Host capped = new Host(new Plan(100, 100, 1, 1, 0, 1, 0, 0, 0), 3, 0).servers(2);
+        capped.request(SAFE, 1);
+        capped.request(SAFE, 0, 1, 1, capped.now + 3000 * MS);
+        String hurried = capped.request(SAFE, 0, 1, 1, capped.now + 300 * MS);
+        capped.pass(300 * MS);
+        assertEquals(List.of(hurried), capped.refused);
+    }
+
+    @Test
+    void arrivingWithNoTimeLeftIsAnsweredAtOnce() {
+        host.servers(1);
+        String id = host.request(SAFE, 0, 1, 1, host.now + MS);
+        assertEquals(List.of(id), host.refused);
+        assertEquals(List.of(), host.sent);
+    }
+
+    @Test
+    void timeOutAtTheDeadlineStillOwesTheAnswer() {
+        host.servers(1);
+        String id = host.request(UNSAFE, 1);
+        host.now += 3000 * MS;
+        host.end(id, Outcome.TIMEOUT, false);
+        assertEquals(List.of(id), host.failed);
+        assertEquals(List.of(), host.refused);
+    }
+
+    @Test
+    void nothingFollowsWhenTheClientIsGone() {
+        host.servers(2);
+        String id = host.request(SAFE, 1);
+        host.gateway.clientGone(host.now, id);
+        host.end(id, Outcome.ERROR, true);
+        host.pass(2000 * MS);
+        assertEquals(1, host.attempts(id).size());
+        assertEquals(List.of(), host.refused);
+        assertEquals(List.of(), host.failed);
+    }
+
+    @ParameterizedTest
+    @EnumSource(value = Outcome.class, names = {"OK"}, mode = EnumSource.Mode.EXCLUDE)
+    void unsafeGoesOutAgainOnlyWhenItNeverRan(Outcome outcome) {
+        host.servers(3);
+        String id = host.request(UNSAFE, 1);
+        host.end(id, outcome, false);
+        if (outcome.provesNeverRan()) {
+            assertEquals(2, host.attempts(id).size());
+        } else {
+            assertEquals(1, host.attempts(id).size());
+            assertEquals(List.of(id), host.failed);
+            assertFalse(host.refused.contains(id));
+        }
+    }
+
+    @Test
+    void keyedStaysInItsCell() {
+        host.servers(4);
+        String id = host.request(KEYED_CELL, 1);
+        host.end(id, Outcome.ERROR, false);
+        List<Host.Sent> attempts = host.attempts(id);
+        assertEquals(2, attempts.size());
+        assertNotEquals(attempts.get(0).server(), attempts.get(1).server());
+        assertEquals(attempts.get(0).server().charAt(0) % 2, attempts.get(1).server().charAt(0) % 2);
+    }
+
+    @Test
+    void keyedIsNotSentAgainAfterItsWindowNorRefused() {
+        host.servers(4);
+        String id = host.request(KEYED_CELL, 1);
+        host.now += 700 * MS;
+        host.end(id, Outcome.TIMEOUT, false);
+        assertEquals(1, host.attempts(id).size());
+        assertEquals(List.of(id), host.failed);
+    }
+
+    @Test
+    void keyedOverAllServersMayBeRefused() {
+        host.servers(4);
+        String id = host.request(KEYED_ALL, 1);
+        host.now += 700 * MS;
+        host.end(id, Outcome.TIMEOUT, false);
+        assertEquals(List.of(id), host.refused);
+    }
+
+    @Test
+    void drainToldWhileQueuedIsKept() {
+        host.servers(1);
+        host.server("a", 0, Readiness.DRAINING, 0);
+        host.request(SAFE, 1);
+        host.pass(100 * MS);
+        assertEquals(List.of(), host.sent);
+        host.server("a", 0, Readiness.READY, 0);
+        assertEquals(1, host.sent.size());
+    }
+
+    @Test
+    void absentFromAFullListIsGone() {
+        host.servers(2);
+        host.gateway.list(host.now, ListKind.FULL, List.of());
+        host.request(SAFE, 1);
+        assertEquals(List.of(), host.sent);
+    }
+
+    @Test
+    void coldServerGetsASmallPart() {
+        host.servers(4);
+        host.server("z", 0, Readiness.READY, host.now);
+        Map<String, Integer> sends = new HashMap<>();
+        for (int i = 0; i < 300; i++) {
+            String id = host.request(SAFE, 1);
+            host.pass(10 * MS);
+            host.end(id, Outcome.OK);
+        }
+        host.sent.forEach(s -> sends.merge(s.server(), 1, Integer::sum));
+        int warm = (300 - sends.getOrDefault("z", 0)) / 4;
+        assertTrue(sends.getOrDefault("z", 0) > 0, "a cold server must warm");
+        assertTrue(sends.get("z") < 0.6 * warm, "cold " + sends.get("z") + " against warm " + warm);
+    }
+
+    @Test
+    void ceilingHoldsForAllGatewaysTogetherWithoutTheCounterAndOverARestart() {
+        Plan plan = new Plan(5, 20, 0, 1, 0, 1, 8, 32, 4);
+        double sent = 0;
+        for (int me = 0; me < 3; me++) {
+            Host one = new Host(plan, 3, me).servers(6);
+            sent += flood(one, 300);
+            // The same number starts again a moment later, with nothing in hand.
+            Host again = new Host(plan, 3, me).servers(6);
+            sent += flood(again, 100);
+        }
+        assertTrue(sent > 0, "something is let in");
+        assertTrue(sent <= 32 + 8 * 4 + 4, "sent " + sent);
+    }
+
+    private static double flood(Host host, int ticks) {
+        for (int i = 0; i < ticks; i++) {
+            host.pass(10 * MS);
+            host.request(SAFE, 2);
+            host.attempts("r" + i).forEach(s -> host.end(s.id(), Outcome.OK));
+        }
+        return 2.0 * host.sent.size();
+    }
+}
