--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/thistlefall/Gateway.java
@@ -333,7 +333,7 @@
             }
             // A finished second is read once more: the others' last pushes came after ours.
             Window last = current.second == second ? previous : current;
-            if (low && !last.closed && last.second >= second - 2 && now % SECOND > SECOND / 4) {
+            if (!last.closed && last.second >= second - 2 && now % SECOND > SECOND / 4) {
                 last.closed = true;
                 call(last, 0);
             }
