Quotas: the extra read only while the counter has room

Change: finished seconds are read only while no call was turned away or lost lately, and calls become rarer sooner. Covers any slow or crowded counter; harm: staler totals where calls are lost for another reason.

--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/thistlefall/Gateway.java
@@ -194,7 +194,7 @@
         boolean answered = outcome == Outcome.OK;
         answeredAt = answered ? now : answeredAt;
         // A crowded counter turns calls away: ask less often, and creep back.
-        pushSpan = answered ? Math.max(PUSH, pushSpan - PUSH / 64) : Math.min(SECOND, pushSpan + PUSH / 16);
+        pushSpan = answered ? Math.max(PUSH, pushSpan - PUSH / 64) : Math.min(SECOND, pushSpan + PUSH / 4);
         if (silent != now - answeredAt > SILENT_AFTER) {
             silent = !silent;
             out.log(silent ? "counter silent: quotas divided over gateways" : "counter answers again");
@@ -331,9 +331,9 @@
                 unpushed = 0;
                 call(current, amount);
             }
-            // A finished second is read once more: the others' last pushes came after ours.
+            // A finished second is read once more if the counter has room: the others' pushes came later.
             Window last = current.second == second ? previous : current;
-            if (!last.closed && last.second >= second - 2 && now % SECOND > SECOND / 4) {
+            if (!last.closed && pushSpan <= PUSH && last.second >= second - 2 && now % SECOND > SECOND / 4) {
                 last.closed = true;
                 call(last, 0);
             }
