--- a/src/test/java/thistlefall/RulesTest.java
+++ b/src/test/java/thistlefall/RulesTest.java
@@ -129,6 +129,19 @@
         assertEquals(1, host.sent.size());
     }
 
+    @Test
+    void goneAndBackUnderTheSameIdIsCold() {
+        host.servers(1);
+        host.server("a", 0, Readiness.GONE, 0);
+        host.request(SAFE, 1);
+        assertEquals(List.of(), host.sent);
+        host.server("a", 0, Readiness.READY, host.now);
+        for (int i = 0; i < 20; i++) {
+            host.request(SAFE, 1);
+        }
+        assertTrue(host.sent.size() <= 1, "sent at once to a cold server: " + host.sent.size());
+    }
+
     @Test
     void absentFromAFullListIsGone() {
         host.servers(2);
