--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/thistlefall/Gateway.java
@@ -20,8 +20,8 @@
     private static final long COUNT_LIFE = 4 * SECOND;
     /** No answer for so long, and the counter is silent: a call or two may be lost by chance. */
     private static final long SILENT_AFTER = SECOND / 2;
-    /** Memory of the others' rate of use, in seconds: about one window. */
-    private static final double OTHERS_S = 1;
+    /** Memory of the rates of use, in seconds: longer than gateways take turns in using up a store. */
+    private static final double OTHERS_S = 3;
     /** The operator's limit on concurrency: requests in flight for each listed server, over all gateways. */
     private static final double OPEN_PER_SERVER = 8;
     /** Forgetting factor: a memory of some 50 intervals, as long as conditions are seen to last. */
@@ -92,9 +92,7 @@
         now = at;
         if (kind == ListKind.FAILED) {
             out.watchList();
-            return;
-        }
-        if (kind != ListKind.DELTA) {
+        } else if (kind != ListKind.DELTA) {
             List<String> named = entries.stream().map(Server::id).toList();
             servers.values().stream().filter(b -> !named.contains(b.id)).forEach(b -> b.ready = false);
         }
@@ -132,7 +130,8 @@
             giveUp(job);
             return;
         }
-        if (customer.plan.atOnce() > 0 && customer.open >= customer.openLimit()) {
+        int mostOpen = customer.plan.atOnce() / customer.gateways;
+        if (customer.plan.atOnce() > 0 && customer.open >= Math.max(1, mostOpen)) {
             customer.parked.add(job);
         } else {
             customer.open++;
@@ -252,7 +251,7 @@
         /** The others' use: its rate, as of late, and what was taken off the store on its account. */
         private double othersRate, foreseen, myRate, pushed, unpushed, ceiling;
         private long refilled, heard, askedAt, pushAt, pushedAt;
-        private boolean deaf;
+        private boolean deaf, wanted;
         private int open;
 
         Customer(long key, Request first) {
@@ -267,8 +266,6 @@
             pushAt = now + random.nextLong(PUSH);
         }
 
-        int openLimit() { return Math.max(1, plan.atOnce() / gateways); }
-
         /** This gateway's part of the quota: half an even split, half by who used it of late. */
         double part() {
             double all = myRate + othersRate;
@@ -298,8 +295,10 @@
             if (plan.ceilingRate() > 0 && ceiling < units) {
                 return new Admission(false, false, (units - ceiling) * gateways / plan.ceilingRate());
             }
-            boolean inQuota = plan.rate() <= 0 || store >= units;
+            // What the others may use before they hear of ours is kept back.
+            boolean inQuota = plan.rate() <= 0 || store - othersRate * PUSH * NANO >= units;
             if (!inQuota && plan.beyondEarns() <= plan.beyondCosts()) {
+                wanted = true;
                 return new Admission(false, false, (units - store) / plan.rate());
             }
             ceiling -= units;
@@ -320,7 +319,8 @@
             boolean low = store < plan.burst() / 2;
             pushAt = now + (deaf ? SECOND : pushSpan);
             long second = now / SECOND;
-            if (Math.abs(unpushed) > 1e-6 && (low || now - pushedAt >= SECOND - TICK)) {
+            // A refusal asks for news too: with no use to push, the estimate could never be set right.
+            if ((Math.abs(unpushed) > 1e-6 || wanted) && (low || now - pushedAt >= SECOND - TICK)) {
                 if (current.second != second) {
                     previous = current;
                     current = new Window(second);
@@ -328,6 +328,7 @@
                 double amount = Math.rint(unpushed * 1e6) * 1e-6;
                 pushed += amount;
                 pushedAt = now;
+                wanted = false;
                 unpushed = 0;
                 call(current, amount);
             }
@@ -369,7 +370,7 @@
             double s = Math.max(0.05, (now - heard) * NANO);
             heard = now;
             double gain = 1 - Math.exp(-s / OTHERS_S);
-            othersRate += gain * (news / s - othersRate);
+            othersRate += gain * (Math.min(news / s, 2 * plan.rate()) - othersRate);
             myRate += gain * (pushed / s - myRate);
             pushed = 0;
             // What was sent beyond the quota took nothing from the store: it cannot be far below nothing.
@@ -438,7 +439,7 @@
     private final class Lane {
         private final RequestClass spec;
         private final ArrayDeque<Job> queue = new ArrayDeque<>();
-        private double share, finishTag, service, slow, units = 1, price = 1;
+        private double share, finishTag, service, units = 1, price = 1;
         private int arrivals, good;
         private double latencySum, waitSum;
         private final List<Double> services = new ArrayList<>();
@@ -446,7 +447,6 @@
         Lane(RequestClass spec) {
             this.spec = spec;
             service = spec.aim() * NANO / 8;
-            slow = 2 * service;
         }
 
         /** Start tag of the head. Computed at release, so that a changed share acts on what is queued too. */
@@ -457,7 +457,6 @@
             if (result.outcome() == Outcome.OK) {
                 good++;
                 service += 0.02 * (took - service);
-                slow += 0.02 * (took > slow ? 9 * slow * 0.2 : -slow * 0.2);
                 units += 0.02 * (job.request.units() - units);
                 price += 0.02 * (job.customer.plan.price() * job.request.units() - price);
                 latencySum += (now - job.arrived) * NANO;
@@ -492,7 +491,7 @@
         // Before the first interval is over Little's law tells the rate; none known is not none served.
         double all = drainRate > 0 ? drainRate : control.level / lane.service;
         double rate = all * lane.share / Math.max(MIN_SHARE, backlogged);
-        double budget = Math.max(lane.spec.aim() * NANO - lane.slow, lane.spec.aim() * NANO / 4);
+        double budget = Math.max(lane.spec.aim() * NANO - 2 * lane.service, lane.spec.aim() * NANO / 4);
         while (inFlight >= control.level && lane.queue.size() > 1 && lane.queue.size() / rate > budget) {
             Job least = lane.queue.peek();
             for (Job job : lane.queue) { least = job.worth <= least.worth ? job : least; }
--- a/src/test/java/thistlefall/MechanismTest.java
+++ b/src/test/java/thistlefall/MechanismTest.java
@@ -146,6 +146,31 @@
         assertTrue(used >= 0.7 * (30 + 10 * 20), "used " + used);
     }
 
+    @Test
+    void aCustomerRefusedAfterTheOthersSpikeIsLetInAgain() {
+        Host host = new Host(new Plan(10, 30, 0, 1, 0, 1, 0, 0, 0), 3, 0).servers(20);
+        Map<Long, Double> totals = new HashMap<>();
+        String last = "";
+        int refusedInSpike = 0;
+        for (int tick = 0; tick < 1500; tick++) {
+            host.pass(10 * MS);
+            if (tick % 20 == 0) {
+                last = host.request(SAFE, 1);
+                host.attempts(last).forEach(s -> host.end(s.id(), Outcome.OK));
+            }
+            for (Host.Counted call : List.copyOf(host.counted)) {
+                // For four seconds the others use far more than the rate, then nothing.
+                double others = tick < 400 ? 600 : 0;
+                double total = totals.merge(call.name(), call.amount() + others, Double::sum);
+                host.gateway.counted(host.now, call.name(), Outcome.OK, total);
+            }
+            host.counted.clear();
+            refusedInSpike = tick == 300 ? host.refused.size() : refusedInSpike;
+        }
+        assertTrue(refusedInSpike > 0, "the spike is seen");
+        assertEquals(1, host.attempts(last).size(), "let in once the store has filled");
+    }
+
     @Test
     void pushesAreSpreadInTime() {
         Host host = new Host(new Plan(10, 30, 0, 1, 0, 1, 0, 0, 0), 3, 0).servers(20);
