Many gateways: calls by budget, units first where news is old; servers by chance; health in one estimate

Should also cover: any crowded or slow counter, fleets of equal newcomers. Could harm: a counter that is slow but not crowded gets fewer calls than it could take.

--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/thistlefall/Gateway.java
@@ -14,61 +14,46 @@
     private static final double NANO = 1e-9;
     /** Housekeeping: fine against the aims, coarse against the CPU bill. */
     private static final long TICK = 10 * MS;
-    /** How often fresh use is pushed: a quarter of the design's window, so that totals are rarely older. */
-    private static final long PUSH = SECOND / 4;
-    /** A per-second count must outlive the two seconds in which it is asked for. */
-    private static final long COUNT_LIFE = 4 * SECOND;
-    /** No answer for so long, and the counter is silent: a call or two may be lost by chance. */
-    private static final long SILENT_AFTER = SECOND / 2;
-    /** Memory of the rates of use, in seconds: longer than gateways take turns in using up a store. */
-    private static final double OTHERS_S = 3;
+    /** How often fresh use is pushed, and for how long no call is answered by a counter that is silent. */
+    private static final long PUSH = SECOND / 4, SILENT_AFTER = SECOND / 2;
+    /** Calls to the counter a second at first, and the steps of this budget after prompt and slow answers. */
+    private static final double CALLS_START = 2, CALLS_UP = 1.1, CALLS_DOWN = 0.7;
     /** The operator's limit on concurrency: requests in flight for each listed server, over all gateways. */
     private static final double OPEN_PER_SERVER = 8;
-    /** Forgetting factor: a memory of some 50 intervals, as long as conditions are seen to last. */
-    private static final double FORGET = 0.98;
-    /** Bound on the covariance's trace per parameter, so that a quiet spell cannot wind the estimator up. */
-    private static final double TRACE = 100;
-    /** Actuation penalties: the concurrency loop is the slower of the two. */
-    private static final double Q_SHARE = 0.3, Q_LEVEL = 0.7;
+    /** The estimator's memory of some 50 intervals, and the bound on its trace in a quiet spell. */
+    private static final double FORGET = 0.98, TRACE = 100;
     /** Inverse latency is told in aims over latency, this many being 1, to be of one size with the shares. */
     private static final double INVERSE_UNIT = 10;
-    /** The level's least part of the operator's limit: two a server keep even a slow fleet busy. */
-    private static final double MIN_LEVEL = 2 / OPEN_PER_SERVER;
-    /** No class starves: the smallest share. */
-    private static final double MIN_SHARE = 0.02;
-    /** Weight of one observation in a server's latency and error averages: about ten answers of memory. */
-    private static final double ALPHA = 0.12, ALPHA_ERR = 0.2;
-    /** A server is an outlier in errors from here on, if it is also well above the others. */
-    private static final double EJECT_ERRORS = 0.35;
-    /** At most this part of the reachable fleet is ejected for errors; the rest must bear the load. */
-    private static final double EJECT_SHARE = 0.5;
-    private static final long EJECT_FIRST = SECOND, EJECT_MOST = 8 * SECOND;
-    /** Latency of a server not heard from drifts back to the fleet's in this time: it is tried again. */
-    private static final double FORGIVE_S = 4;
-    /** Further attempts per first attempt, and how many may be saved up. */
-    private static final double RETRY_RATIO = 0.2, RETRY_MOST = 20;
-    /** An attempt this many times slower than usual is given up where another may follow. */
-    private static final double PATIENCE = 6;
-
-    /** A first attempt needs this many times its usual span before its aim, or it is likely wasted. */
-    private static final double MARGIN = 1.5;
+    /** Actuation penalties (the level's loop is the slower), and the least part of each: no class starves. */
+    private static final double Q_SHARE = 0.3, Q_LEVEL = 0.7, MIN_SHARE = 0.02, MIN_LEVEL = 0.25;
+    /** Weight of an answer in what is known of a server; memory, in seconds, of that and of the others' use. */
+    private static final double ALPHA = 0.12, ALPHA_ERR = 0.2, FORGIVE_S = 4, OTHERS_S = 3;
+    /** How many servers each of as many gateways as servers looks at for a request; two are the least. */
+    private static final int LOOK = 3;
+    /** Further attempts per first one, how many may be saved up; the usual spans that a first one needs. */
+    private static final double RETRY_RATIO = 0.2, RETRY_MOST = 20, MARGIN = 1.5;
 
     private final Settings cfg;
     private final Actions out;
     private final SplittableRandom random;
     private final long born;
-    private long now;
+    private long now, nextControl, answeredAt, tokensAt, slowedAt, sentWorkAt;
     private final Map<String, Job> jobs = new HashMap<>();
     private final Map<Long, Customer> customers = new LinkedHashMap<>();
     private final Map<String, Backend> servers = new LinkedHashMap<>();
+    private List<Backend> listed = List.of();
+    private final Map<Integer, Double> kindLatency = new HashMap<>(), zoneErrors = new HashMap<>();
     private final Lane[] lanes;
     private final Control control;
     private int inFlight;
-    private double retryTokens = RETRY_MOST, drainRate;
-    private int drained;
-    private long nextControl, answeredAt, pushSpan = PUSH;
+    private double retryTokens = RETRY_MOST, virtualTime, sentWork;
     private boolean silent;
-    private final Map<Long, ArrayDeque<Call>> calls = new HashMap<>();
+    private double callRate = CALLS_START, callTokens;
+    /** For each plan the units taken and those of them told to the counter, as of late. */
+    private final double[] taken, told;
+    /** Customers with something to push or with parked requests. */
+    private final Set<Customer> active = new LinkedHashSet<>();
+    private final Map<Long, ArrayDeque<Call>> calls = new LinkedHashMap<>();
 
     /** A gateway that starts now; {@code seed} is its only source of chance. */
     public Gateway(Settings settings, long seed, long now, Actions actions) {
@@ -79,15 +64,17 @@
         this.now = now;
         lanes = new Lane[cfg.classes().size()];
         for (int i = 0; i < lanes.length; i++) { lanes[i] = new Lane(cfg.classes().get(i)); }
+        taken = new double[cfg.plans().size()];
+        told = new double[taken.length];
         control = new Control();
         answeredAt = now;
+        tokensAt = now;
+        callTokens = random.nextDouble(CALLS_START);
         nextControl = now + SECOND;
         out.timer(0, TICK);
         if (cfg.limits().askForList()) { out.watchList(); }
     }
 
-    // ---- events -----------------------------------------------------------------------------------------
-
     @Override public void list(long at, ListKind kind, List<Server> entries) {
         now = at;
         if (kind == ListKind.FAILED) {
@@ -100,11 +87,12 @@
             Backend known = servers.get(entry.id());
             // What was learned of a server before it started anew tells nothing of it now.
             boolean anew = known == null || known.entry.startedAt() != entry.startedAt();
-            Backend backend = anew ? new Backend(entry.id()) : known;
+            Backend backend = anew ? new Backend(entry) : known;
             servers.put(entry.id(), backend);
             backend.entry = entry;
             backend.ready = entry.readiness() == Readiness.READY;
         }
+        listed = servers.values().stream().filter(b -> b.ready).toList();
         control.boundLevel();
         dispatch();
     }
@@ -118,28 +106,30 @@
         Customer customer = customers.computeIfAbsent(request.customer(), key -> new Customer(key, request));
         Lane lane = lanes[request.requestClass()];
         lane.arrivals++;
-        Admission admission = customer.admit(request);
-        if (!admission.admitted) {
-            out.refuse(request.id(), advice(admission.retryAfter));
-            return;
-        }
-        Job job = new Job(request, customer, lane, admission.inQuota);
+        Job job = new Job(request, customer, lane);
         jobs.put(request.id(), job);
         if (job.hopeless()) {
             // Some come with hardly any time left: the next look at the queue would be too late.
             giveUp(job);
-            return;
+        } else {
+            customer.admit(job);
         }
-        int mostOpen = customer.plan.atOnce() / customer.gateways;
-        if (customer.plan.atOnce() > 0 && customer.open >= Math.max(1, mostOpen)) {
+        dispatch();
+    }
+
+    /** Queues what was admitted, or parks it where its customer has as many out as one gateway may. */
+    private void enqueue(Job job) {
+        Customer customer = job.customer;
+        int most = customer.plan.atOnce();
+        if (most > 0 && customer.open >= Math.max(1, most / customer.gateways)) {
             customer.parked.add(job);
+            active.add(customer);
         } else {
             customer.open++;
             job.open = true;
-            lane.queue.add(job);
-            relieve(lane);
+            job.lane.queue.add(job);
+            relieve(job.lane);
         }
-        dispatch();
     }
 
     @Override public void attemptEnded(long at, Result result) {
@@ -151,11 +141,9 @@
         inFlight--;
         backend.ended(job, result);
         job.lane.observe(job, result);
-        if (result.outcome() == Outcome.OK) {
-            drained++;
-            if (cfg.counter().settles() && result.trueUnits() > 0 && job.inQuota) {
-                job.customer.use(result.trueUnits() - job.request.units());
-            }
+        boolean told = cfg.counter().settles() && result.trueUnits() > 0;
+        if (told && result.outcome() == Outcome.OK && job.inQuota) {
+            job.customer.take(result.trueUnits() - job.request.units());
         }
         if (!result.outcome().provesNeverRan() && job.mayHaveRunSince == 0) {
             job.mayHaveRunSince = job.sentAt;
@@ -176,7 +164,7 @@
         Job job = jobs.get(id);
         if (job == null) { return; }
         job.over = true;
-        if (job.backend == null) {
+        if (job.backend == null && !job.asking) {
             job.lane.queue.remove(job);
             job.customer.parked.remove(job);
             forget(job);
@@ -189,15 +177,35 @@
         Call call = pending == null ? null : pending.poll();
         if (call == null) { return; }
         if (pending.isEmpty()) { calls.remove(name); }
-        call.customer.counted(call, outcome, total);
         boolean answered = outcome == Outcome.OK;
+        boolean slow = !answered || now - call.at > cfg.counter().timeout() / 3;
+        // A crowded counter's line outlasts the time-out, and then no call is answered at all: each gateway
+        // backs off at the first long wait. A burst of slow answers is one piece of news.
+        if (slow && now - slowedAt > PUSH) {
+            callRate = Math.max(1, callRate * CALLS_DOWN);
+            slowedAt = now;
+        } else if (!slow && callTokens < callRate / 2) {
+            callRate *= CALLS_UP;
+        }
         answeredAt = answered ? now : answeredAt;
-        // A crowded counter turns calls away: ask less often, and creep back.
-        pushSpan = answered ? Math.max(PUSH, pushSpan - PUSH / 64) : Math.min(SECOND, pushSpan + PUSH / 4);
         if (silent != now - answeredAt > SILENT_AFTER) {
             silent = !silent;
             out.log(silent ? "counter silent: quotas divided over gateways" : "counter answers again");
         }
+        call.customer.counted(call, outcome, total);
+        dispatch();
+    }
+
+    /** Takes a call from the budget, if that leaves the part of it that is to be spared. */
+    private boolean mayCall(double spare) {
+        // One call a second tells whether a silent counter is back.
+        double rate = silent ? 1 : callRate;
+        double most = Math.max(2, rate);
+        callTokens = Math.min(most, callTokens + rate * (now - tokensAt) * NANO);
+        tokensAt = now;
+        boolean may = callTokens >= 1 + spare * (most - 1);
+        callTokens -= may ? 1 : 0;
+        return may;
     }
 
     @Override public void probed(long at, String id, Outcome how, long took, List<Double> load) { now = at; }
@@ -206,173 +214,217 @@
         now = at;
         out.timer(0, TICK);
         for (Lane lane : lanes) { expire(lane.queue); }
-        for (Customer customer : customers.values()) {
+        for (ArrayDeque<Call> line : calls.values()) {
+            for (Call call : line) {
+                // A host that never ends a call must not cost a request its answer.
+                if (now - call.at > 2 * cfg.counter().timeout()) { call.customer.conclude(call, false); }
+            }
+        }
+        for (Customer customer : List.copyOf(active)) {
             expire(customer.parked);
             customer.push();
         }
         if (now >= nextControl) {
             nextControl += SECOND;
-            drainRate += 0.3 * (drained - drainRate);
-            drained = 0;
             control.interval();
         }
         dispatch();
     }
 
-    // ---- admission: quota, ceiling, open cap ------------------------------------------------------------
-
-    private record Admission(boolean admitted, boolean inQuota, double retryAfter) { }
-
-    private record Call(Customer customer, Window window, double amount) { }
+    private record Call(Customer customer, long window, double amount, Job job, long at) { }
 
-    private long advice(double seconds) {
-        return cfg.limits().retryAfter()
-            ? Math.min(cfg.limits().maxRetryAfter(), Math.max(0, (long) (seconds * SECOND))) : 0;
-    }
-
-    /** What is known of a customer's count of one second: this gateway's part and the others'. */
-    private static final class Window {
-        private final long second;
-        private double mine, others;
-        private boolean closed;
-
-        Window(long second) { this.second = second; }
-    }
+    /** Spreads numbers that lie close together over all long values. */
+    private static long mix(long z) { return new SplittableRandom(z).nextLong(); }
 
     /** What this gateway knows of a customer's use. */
     private final class Customer {
-        private final long key;
+        private final long key, span, phase;
         private final Plan plan;
-        private final int gateways;
+        private final int gateways, place;
+        private final boolean shared;
         private final ArrayDeque<Job> parked = new ArrayDeque<>();
-        private Window current = new Window(Long.MIN_VALUE), previous = current;
-        /** The quota's store as estimated here: filled at the rate, less our use, less the others' use. */
-        private double store;
-        /** The others' use: its rate, as of late, and what was taken off the store on its account. */
-        private double othersRate, foreseen, myRate, pushed, unpushed, ceiling;
-        private long refilled, heard, askedAt, pushAt, pushedAt;
-        private boolean deaf, wanted;
+        /** The count of the present window: its number, this gateway's part and the others'. */
+        private long window = Long.MIN_VALUE, refilled, heard, pushAt, usedAt;
+        private double mine, others;
+        /** The quota's store as estimated here; the others' use: its rate, and what was foreseen of it. */
+        private double store, othersRate, foreseen, unpushed, ceiling;
+        private boolean deaf;
         private int open;
 
         Customer(long key, Request first) {
             this.key = key;
-            plan = cfg.plans().get(first.plan());
+            place = first.plan();
+            plan = cfg.plans().get(place);
             gateways = Math.max(1, Math.min(first.setSize(), cfg.siblings()));
+            shared = gateways > 1 && cfg.counter().present();
             store = plan.burst();
+            // In one burst's span a steady customer is given just one burst: the running total alone tells a
+            // gateway that never heard of it. Spans of different customers begin at different moments.
+            double full = plan.rate() > 0 ? plan.burst() / plan.rate() : 1;
+            span = (long) (Math.min(30, Math.max(1, full)) * SECOND);
+            phase = Math.floorMod(mix(key), span);
             // A restarted gateway cannot know what it spent under the ceiling: that starts with nothing.
             refilled = born;
-            heard = now;
+            heard = now - 2 * span;
             // Pushes are spread in time: all at once they would find the counter's line full.
             pushAt = now + random.nextLong(PUSH);
         }
 
-        /** This gateway's part of the quota: half an even split, half by who used it of late. */
-        double part() {
-            double all = myRate + othersRate;
-            return 0.5 / gateways + (all > 1e-6 ? 0.5 * myRate / all : 0.5 / gateways);
-        }
-
         void refill() {
             double s = (now - refilled) * NANO;
             refilled = now;
-            boolean blind = gateways > 1
-                && (!cfg.counter().present() || askedAt > 0 && now - askedAt > SILENT_AFTER);
-            if (blind && !deaf) { store = store > 0 ? store * part() : store; }
-            deaf = blind;
-            // The counter rule looks two seconds back only: a long burst would pass it for ever. Instead the
-            // totals feed an estimate of the store. Between totals the others go on as they did; with the
-            // counter silent the quota is divided.
-            double others = s * (deaf ? plan.rate() * (1 - part()) : Math.min(othersRate, plan.rate()));
+            // Two seconds' totals would let a long burst pass for ever: they feed an estimate of the store.
+            // Between totals the others go on as they did; without news the quota is divided.
+            double others = s * Math.min(plan.rate() * (deaf ? 1 - 1.0 / gateways : 1),
+                deaf ? plan.rate() : othersRate);
             foreseen += others;
             store = Math.min(plan.burst(), store + s * plan.rate() - others);
             ceiling = Math.min(plan.ceilingBurst() / gateways, ceiling + s * plan.ceilingRate() / gateways);
         }
 
-        Admission admit(Request request) {
+        /** Decides at once on fresh news; else the units go to the counter first and the total decides. */
+        void admit(Job job) {
             refill();
-            double units = request.units();
+            double units = job.request.units();
             // The ceiling holds whatever the others do: each gateway keeps to its part of rate and burst.
             if (plan.ceilingRate() > 0 && ceiling < units) {
-                return new Admission(false, false, (units - ceiling) * gateways / plan.ceilingRate());
-            }
-            // What the others may use before they hear of ours is kept back.
-            boolean inQuota = plan.rate() <= 0 || store - othersRate * PUSH * NANO >= units;
-            if (!inQuota && plan.beyondEarns() <= plan.beyondCosts()) {
-                wanted = true;
-                return new Admission(false, false, (units - store) / plan.rate());
+                refuse(job, (units - ceiling) * gateways / plan.ceilingRate());
+                return;
             }
             ceiling -= units;
-            if (inQuota) { use(units); }
-            return new Admission(true, inQuota, 0);
+            take(units);
+            job.taken = true;
+            job.inQuota = true;
+            boolean dear = plan.rate() > 0 && plan.beyondEarns() <= plan.beyondCosts();
+            boolean old = dear && now - heard > span / 4 && shared && !silent;
+            boolean time = now + 2 * cfg.counter().timeout() < job.aimAt();
+            // Scarce calls go where own traffic tells least and to first tries: repeats mostly follow a refusal.
+            double spare = job.request.repeat() ? 0.5 : 0.5 * (1 - gateways / (double) cfg.siblings());
+            if (old && time && mayCall(spare)) {
+                job.asking = true;
+                call(job);
+            } else {
+                if (gateways > 1 && now - heard > span) { divide(); }
+                boolean doubtful = deaf && job.request.repeat() && plan.burst() / gateways < units;
+                // What the others may use before they hear of ours is kept back.
+                decide(job, doubtful ? Double.MAX_VALUE : othersRate * PUSH * NANO);
+            }
+        }
+
+        /** Without news the quota is divided; parts under one request would refuse all who come so rarely. */
+        private void divide() {
+            if (!deaf && store > 0) {
+                store = Math.max(store / gateways, Math.min(store, cfg.counter().largest()));
+            }
+            deaf = true;
         }
 
-        void use(double units) {
+        private void decide(Job job, double keptBack) {
+            double units = job.request.units();
+            job.inQuota = plan.rate() <= 0 || store >= keptBack;
+            if (!job.inQuota) { take(-units); }
+            if (job.inQuota || plan.beyondEarns() > plan.beyondCosts()) {
+                enqueue(job);
+            } else {
+                refuse(job, (units - store) / plan.rate());
+            }
+        }
+
+        private void refuse(Job job, double retryAfter) {
+            double most = cfg.limits().retryAfter() ? cfg.limits().maxRetryAfter() : 0;
+            out.refuse(job.request.id(), (long) Math.max(0, Math.min(most, retryAfter * SECOND)));
+            forget(job);
+        }
+
+        void take(double units) {
             if (plan.rate() > 0) {
+                taken[place] = 0.99 * taken[place] + Math.max(0, units);
+                told[place] *= 0.99;
                 unpushed += units;
                 store -= units;
+                usedAt = now;
+                active.add(this);
             }
         }
 
         /** One call for a customer with fresh use, more often when its store runs low. */
         void push() {
-            if (now < pushAt || gateways == 1 || !cfg.counter().present()) { return; }
-            boolean low = store < plan.burst() / 2;
-            pushAt = now + (deaf ? SECOND : pushSpan);
-            long second = now / SECOND;
-            // A refusal asks for news too: with no use to push, the estimate could never be set right.
-            if ((Math.abs(unpushed) > 1e-6 || wanted) && (low || now - pushedAt >= SECOND - TICK)) {
-                if (current.second != second) {
-                    previous = current;
-                    current = new Window(second);
-                }
-                double amount = Math.rint(unpushed * 1e6) * 1e-6;
-                pushed += amount;
-                pushedAt = now;
-                wanted = false;
+            // Use of a span ago is no news any more.
+            boolean fresh = Math.abs(unpushed) > 1e-6 && now - usedAt < span && shared;
+            if (!fresh) {
                 unpushed = 0;
-                call(current, amount);
-            }
-            // A finished second is read once more if the counter has room: the others' pushes came later.
-            Window last = current.second == second ? previous : current;
-            if (!last.closed && pushSpan <= PUSH && last.second >= second - 2 && now % SECOND > SECOND / 4) {
-                last.closed = true;
-                call(last, 0);
+                if (parked.isEmpty()) { active.remove(this); }
+            } else if (now >= pushAt && mayCall(0.75)) {
+                call(null);
             }
         }
 
-        private void call(Window window, double amount) {
-            long name = (key << 29) ^ (window.second & ((1L << 29) - 1)) & Long.MAX_VALUE;
-            calls.computeIfAbsent(name, n -> new ArrayDeque<>()).add(new Call(this, window, amount));
-            askedAt = askedAt == 0 ? now : askedAt;
-            out.count(name, amount, COUNT_LIFE);
+        private void call(Job job) {
+            long index = Math.floorDiv(now + phase, span);
+            if (window != index) {
+                window = index;
+                mine = others = 0;
+            }
+            double amount = Math.rint(unpushed * 1e6) * 1e-6;
+            told[place] += amount;
+            pushAt = now + (store < plan.burst() / 2 ? PUSH : SECOND);
+            unpushed = 0;
+            long name = mix(mix(key) + index) >>> 1;
+            Call call = new Call(this, window, amount, job, now);
+            calls.computeIfAbsent(name, n -> new ArrayDeque<>()).add(call);
+            out.count(name, amount, 2 * span);
         }
 
         void counted(Call call, Outcome outcome, double total) {
             if (outcome.provesNeverRan()) {
                 unpushed += call.amount;
-                return;
+                told[place] -= call.amount;
+                active.add(this);
+            } else if (call.window == window) {
+                // Without an answer it may have been added; if not, the next total looks like lost counts.
+                mine += call.amount;
             }
-            Window window = call.window;
-            // Without an answer it may have been added; if it was not, the next total looks like lost counts.
-            window.mine += call.amount;
-            if (outcome != Outcome.OK) { return; }
-            askedAt = 0;
             refill();
-            double others = total - window.mine;
-            if (others < window.others - 1e-3) {
+            if (outcome == Outcome.OK && call.window == window) { learn(call, total); }
+            conclude(call, outcome == Outcome.OK);
+        }
+
+        /** The end of a request's wait for the counter. */
+        private void conclude(Call call, boolean answered) {
+            Job job = call.job;
+            if (job == null || !job.asking) { return; }
+            job.asking = false;
+            if (job.over) {
+                forget(job);
+            } else {
+                decide(job, answered ? 0 : othersRate * PUSH * NANO);
+            }
+        }
+
+        private void learn(Call call, double total) {
+            double theirs = total - mine;
+            if (theirs < -1e-3 || theirs < others - plan.burst() / 2) {
                 // Lost counts: what is there now is new since the loss, and tells of the others what it can.
-                window.mine = call.amount;
-                window.others = 0;
-                others = Math.max(0, total - call.amount);
+                mine = call.amount;
+                others = 0;
+                theirs = Math.max(0, total - call.amount);
             }
-            double news = others - window.others;
-            window.others = others;
-            double s = Math.max(0.05, (now - heard) * NANO);
+            // Where calls are scarce only a part of the use is told; the others' part is taken to be as ours.
+            double least = 2 * cfg.counter().largest();
+            double part = (Math.max(0, told[place]) + least) / (taken[place] + least);
+            if (now - heard > span) {
+                // The estimate is too old: in one span a full store and this window's total tell more.
+                store = plan.burst() - mine - unpushed;
+                foreseen = 0;
+            }
+            double news = (theirs - others) / Math.min(1, Math.max(0.1, part));
+            others = theirs;
+            deaf = false;
+            long since = Math.max(heard, window * span - phase);
+            double s = Math.max(0.05, (now - since) * NANO);
             heard = now;
-            double gain = 1 - Math.exp(-s / OTHERS_S);
-            othersRate += gain * (Math.min(news / s, 2 * plan.rate()) - othersRate);
-            myRate += gain * (pushed / s - myRate);
-            pushed = 0;
+            double rate = Math.max(0, Math.min(news / s, 2 * plan.rate()));
+            othersRate += (1 - Math.exp(-s / OTHERS_S)) * (rate - othersRate);
             // What was sent beyond the quota took nothing from the store: it cannot be far below nothing.
             store = Math.max(Math.min(plan.burst(), store - news + foreseen), -cfg.counter().largest());
             foreseen = 0;
@@ -389,29 +441,28 @@
         }
     }
 
-    // ---- fair queue: C-SFQ(D) ----------------------------------------------------------------------------
-
     /** A request taken and not yet finished. */
     private final class Job {
         private final Request request;
         private final Customer customer;
         private final Lane lane;
-        private final boolean inQuota;
         private final long arrived = now;
-        private final double worth, vAtArrival = virtualTime;
-        private boolean open, over;
+        private final double vAtArrival = virtualTime;
+        private boolean taken, asking, inQuota, open, over;
         private int attempts;
-        private Backend backend, lastBackend;
+        private Backend backend;
         private long sentAt, mayHaveRunSince;
         private Backend anchor;
 
-        Job(Request request, Customer customer, Lane lane, boolean inQuota) {
+        Job(Request request, Customer customer, Lane lane) {
             this.request = request;
             this.customer = customer;
             this.lane = lane;
-            this.inQuota = inQuota;
+        }
+
+        double worth() {
             double part = inQuota ? 1 : customer.plan.beyondEarns() - customer.plan.beyondCosts();
-            worth = lane.spec.worth() * customer.plan.price() * part;
+            return lane.spec.worth() * customer.plan.price() * part;
         }
 
         long aimAt() { return Math.min(arrived + lane.spec.aim(), request.deadline()); }
@@ -425,16 +476,8 @@
         double cost() {
             return lane.service * Math.max(0.3, Math.min(3, request.units() / Math.max(1e-9, lane.units)));
         }
-
-        boolean refusable() {
-            RequestClass spec = lane.spec;
-            return mayHaveRunSince == 0 || spec.repeat() == Repeat.SAFE
-                || spec.repeat() == Repeat.KEYED && spec.group() == Group.ALL;
-        }
     }
 
-    private double virtualTime;
-
     /** A performance class: its queue, its share, its tags, and what the last interval saw of it. */
     private final class Lane {
         private final RequestClass spec;
@@ -488,13 +531,12 @@
     private void relieve(Lane lane) {
         double backlogged = 0;
         for (Lane other : lanes) { backlogged += other.queue.isEmpty() ? 0 : other.share; }
-        // Before the first interval is over Little's law tells the rate; none known is not none served.
-        double all = drainRate > 0 ? drainRate : control.level / lane.service;
-        double rate = all * lane.share / Math.max(MIN_SHARE, backlogged);
+        // Little's law tells the rate of release.
+        double rate = control.level / lane.service * lane.share / Math.max(MIN_SHARE, backlogged);
         double budget = Math.max(lane.spec.aim() * NANO - 2 * lane.service, lane.spec.aim() * NANO / 4);
         while (inFlight >= control.level && lane.queue.size() > 1 && lane.queue.size() / rate > budget) {
             Job least = lane.queue.peek();
-            for (Job job : lane.queue) { least = job.worth <= least.worth ? job : least; }
+            for (Job job : lane.queue) { least = job.worth() <= least.worth() ? job : least; }
             lane.queue.remove(least);
             giveUp(least);
         }
@@ -522,8 +564,6 @@
         }
     }
 
-    // ---- controllers ------------------------------------------------------------------------------------
-
     /** Recursive least squares with forgetting: y = theta phi, all outputs sharing one covariance. */
     static final class Rls {
         private final SimpleMatrix theta;
@@ -598,9 +638,8 @@
         private double[] shares() { return Arrays.stream(lanes).mapToDouble(lane -> lane.share).toArray(); }
 
         void boundLevel() {
-            long ready = servers.values().stream().filter(b -> b.ready).count();
             double before = limit;
-            limit = Math.max(2, Math.ceil(OPEN_PER_SERVER * ready / cfg.siblings()));
+            limit = Math.max(2, Math.ceil(OPEN_PER_SERVER * listed.size() / cfg.siblings()));
             level = levelModel.updates == 0 || level >= before ? limit : Math.min(level, limit);
         }
 
@@ -703,7 +742,7 @@
             }
             lastChange = lastInverse > 0 ? inverse - lastInverse : 0;
             lastLevel = u;
-            double wait = tight.good == 0 ? 0 : tight.waitSum / tight.good;
+            double wait = tight.waitSum / Math.max(1, tight.good);
             // Fitted on changes: an unvaried level tells nothing. Until the fit has the known sign, Little's
             // law gives the slope: latency in proportion to what is out.
             double fit = levelModel.theta.cols(1, 2).get(0);
@@ -719,23 +758,21 @@
         }
     }
 
-    // ---- server choice and health -----------------------------------------------------------------------
-
-    private double fleetLatency = 1;
-
     /** What this gateway knows of a server. */
     private final class Backend {
         private final String id;
         private Server entry;
-        private boolean ready;
+        private boolean ready, shunned;
         private final LinkedHashSet<Job> outstanding = new LinkedHashSet<>();
-        private double latency = 1, errors;
-        private long heard = now, ejectedUntil, ejectSpan = EJECT_FIRST;
-        private boolean probation;
-        private double coldBudget;
-        private long coldAt = now;
+        private double latency, errors;
+        private long heard = now, coldAt = now;
 
-        Backend(String id) { this.id = id; }
+        Backend(Server entry) {
+            id = entry.id();
+            this.entry = entry;
+            latency = kindLatency.getOrDefault(entry.kind(), 1.0);
+            errors = zoneErrors.getOrDefault(entry.zone(), 0.0);
+        }
 
         boolean cold() { return entry.startedAt() > 0 && now - entry.startedAt() < cfg.rules().coldSpan(); }
 
@@ -744,26 +781,29 @@
             return cfg.rules().coldFrom() + (1 - cfg.rules().coldFrom()) * Math.min(1, age);
         }
 
-        double weight() { return cfg.sizesTell() && entry.size() > 0 ? entry.size() : 1; }
-
-        double foreseen() {
-            double idle = (now - heard) * NANO;
-            double l = fleetLatency + (latency - fleetLatency) * Math.exp(-idle / FORGIVE_S);
-            if (!outstanding.isEmpty()) {
-                // An answer overdue tells of trouble before it ends.
-                Job oldest = outstanding.iterator().next();
-                l = Math.max(l, (now - oldest.sentAt) * NANO / oldest.cost() / 2);
-            }
-            return l;
+        /** What was not heard of lately is taken to be as its kind and its zone are. */
+        private double lately(double own, double usual) {
+            return usual + (own - usual) * Math.exp(-(now - heard) * NANO / FORGIVE_S);
         }
 
+        double risk() { return lately(errors, zoneErrors.getOrDefault(entry.zone(), 0.0)); }
+
         boolean groupedWith(Backend other, Group group) {
             Server a = entry, b = other.entry;
             return group == Group.ZONE ? a.zone() == b.zone() : a.cell() == b.cell();
         }
 
         double score() {
-            double s = foreseen() * (1 + outstanding.size() / weight()) / (1 - Math.min(0.9, errors));
+            double l = lately(latency, kindLatency.getOrDefault(entry.kind(), 1.0));
+            if (!outstanding.isEmpty()) {
+                // An answer overdue tells of trouble before it ends.
+                Job oldest = outstanding.iterator().next();
+                l = Math.max(l, (now - oldest.sentAt) * NANO / oldest.cost() / 2);
+            }
+            // One that fails is left alone until it is forgiven, unless the others fail as much.
+            double safe = 1 - Math.min(0.97, risk());
+            double weight = cfg.sizesTell() && entry.size() > 0 ? entry.size() : 1;
+            double s = l * (1 + outstanding.size() / weight) / (safe * safe);
             return entry.zone() == cfg.zone() ? s : s * 1.05;
         }
 
@@ -772,108 +812,67 @@
             double took = result.took() * NANO;
             Outcome o = result.outcome();
             if (o == Outcome.CANCELLED || o == Outcome.NOT_SENT) { return; }
-            heard = now;
             boolean good = o == Outcome.OK;
             // A fast failure must not look fast.
             double ratio = Math.min(20, (good ? took : Math.max(took, 3 * job.lane.service)) / job.cost());
-            latency += ALPHA * (ratio - latency);
-            fleetLatency += ALPHA / Math.max(1, servers.size()) * (ratio - fleetLatency);
             double bad = good ? 0 : o == Outcome.FULL ? 0.5 : 1;
-            errors += ALPHA_ERR * (bad - errors);
-            if (probation && good) {
-                probation = false;
-                errors = Math.min(errors, EJECT_ERRORS / 2);
-                ejectSpan = Math.max(EJECT_FIRST, ejectSpan / 2);
-                out.log("server back: " + id);
-            } else if (!good && (o == Outcome.CONNECT_FAILED || probation || outlier())) {
-                eject(o);
-            }
-        }
-
-        /** When all do badly none is an outlier, and never are so many ejected that the rest drown. */
-        boolean outlier() {
-            int usable = 0;
-            int ejected = 0;
-            double sum = 0;
-            for (Backend b : servers.values()) {
-                if (b.ready) {
-                    usable++;
-                    sum += b.errors;
-                    ejected += b.ejectedUntil > now ? 1 : 0;
-                }
+            // Where one gateway of many hears little of a server, it goes by what it hears of its like.
+            double small = 2 * ALPHA / Math.max(1, listed.size());
+            kindLatency.merge(entry.kind(), ratio, (l, r) -> l + small * (r - l));
+            zoneErrors.merge(entry.zone(), small * bad, (e, x) -> e + small * (bad - e));
+            latency = lately(latency, kindLatency.get(entry.kind()));
+            errors = risk();
+            heard = now;
+            latency += ALPHA * (ratio - latency);
+            errors += (o == Outcome.CONNECT_FAILED ? 1 : good ? ALPHA_ERR : 2 * ALPHA_ERR) * (bad - errors);
+            if (shunned != errors > 0.5) {
+                shunned = !shunned;
+                out.log((shunned ? "server shunned: " : "server back: ") + id + " after " + o);
             }
-            double others = usable > 1 ? (sum - errors) / (usable - 1) : 1;
-            return errors > EJECT_ERRORS && errors > 2 * others && ejected + 1 <= EJECT_SHARE * usable;
         }
+    }
 
-        void eject(Outcome why) {
-            if (ejectedUntil <= now) {
-                ejectedUntil = now + ejectSpan;
-                ejectSpan = Math.min(EJECT_MOST, 2 * ejectSpan);
-                if (!probation) { out.log("server ejected: " + id + " after " + why); }
-            }
-            probation = true;
-        }
+    /** All that drop a bound request's repeats, else some by chance: ranked alike, few would get all. */
+    private List<Backend> candidates(Job job, boolean bound) {
+        Group group = job.lane.spec.group();
+        if (bound) { return listed.stream().filter(b -> b.groupedWith(job.anchor, group)).toList(); }
+        int most = Math.max(2, LOOK * listed.size() / cfg.siblings());
+        if (most >= listed.size()) { return listed; }
+        return random.ints(0, listed.size()).distinct().limit(most).mapToObj(listed::get).toList();
     }
 
-    /** The server that should answer soonest of those the request may go to; null if none may be used now. */
+    /** The candidate that should answer soonest; null if none may be used now. */
     private Backend choose(Job job) {
         RequestClass spec = job.lane.spec;
         boolean bound = job.mayHaveRunSince > 0 && spec.repeat() == Repeat.KEYED && spec.group() != Group.ALL;
         Backend best = null;
-        Backend fallback = null;
         double bestScore = Double.MAX_VALUE;
-        double fallbackScore = Double.MAX_VALUE;
-        double perWarm = warmRate();
-        for (Backend b : servers.values()) {
-            boolean grouped = !bound || b.groupedWith(job.anchor, spec.group());
-            if (!b.ready || !grouped || b.cold() && !coldRoom(b, job, perWarm)) { continue; }
-            double score = b == job.lastBackend ? 4 * b.score() : b.score();
-            // Back by trickle: one at a time, and only what can be repeated.
-            boolean trickle = b.probation && b.ejectedUntil <= now && b.outstanding.isEmpty()
-                && spec.repeat() == Repeat.SAFE && job.attempts == 0;
-            if (!b.probation || trickle) {
-                score = trickle ? score / 2 : score;
-                if (score < bestScore) {
-                    best = b;
-                    bestScore = score;
-                }
-            } else if (score < fallbackScore) {
-                fallback = b;
-                fallbackScore = score;
+        for (Backend b : candidates(job, bound)) {
+            // Gateways that know as little as each other must not all take the first of a list.
+            double score = b.score() * (1 + 0.1 * random.nextDouble());
+            if (score < bestScore && (!b.cold() || coldRoom(b, job))) {
+                best = b;
+                bestScore = score;
             }
         }
-        return best != null ? best : fallback;
+        return best;
     }
 
-    private double sentWork;
-
-    /** Work a second that this gateway sends to a warm server on average. */
-    private double warmRate() {
-        return sentWork / Math.max(1, servers.values().stream().filter(b -> b.ready && !b.cold()).count());
-    }
-
-    /** A cold server gets the part of a warm one's work that it can surely do, and never a burst. */
-    private boolean coldRoom(Backend b, Job job, double perWarm) {
-        double rate = Math.max(perWarm, 0.05) * b.warmth();
-        b.coldBudget = Math.min(job.cost(), b.coldBudget + rate * (now - b.coldAt) * NANO);
+    /** By chance: a cold server's part of a warm one's work, from however many gateways, and no burst. */
+    private boolean coldRoom(Backend b, Job job) {
+        double warm = Math.max(1, listed.stream().filter(other -> !other.cold()).count());
+        double work = sentWork / warm * b.warmth() * (now - b.coldAt) * NANO;
         b.coldAt = now;
-        return b.coldBudget >= job.cost() * 0.999;
+        return random.nextDouble() * job.cost() < work;
     }
 
-    // ---- attempts and final answers ---------------------------------------------------------------------
-
-    private long sentWorkAt;
-
     private void send(Job job, Backend backend) {
         sentWork *= Math.exp(-(now - sentWorkAt) * NANO / 4);
         sentWork += job.cost() / 4;
         sentWorkAt = now;
-        if (backend.cold()) { backend.coldBudget -= job.cost(); }
         if (job.attempts == 0) { retryTokens = Math.min(RETRY_MOST, retryTokens + RETRY_RATIO); }
         job.attempts++;
         job.backend = backend;
-        job.lastBackend = backend;
         job.sentAt = now;
         backend.outstanding.add(job);
         inFlight++;
@@ -881,17 +880,10 @@
         out.send(job.request.id(), backend.id, patience(job));
     }
 
-    /** How long to wait: shorter than the client where another attempt may still be in time. */
+    /** How long to wait: no longer than an answer is worth something. */
     private long patience(Job job) {
-        RequestClass spec = job.lane.spec;
-        long left = job.request.deadline() - now;
-        long useful = job.aimAt() - now;
-        if (spec.repeat() != Repeat.UNSAFE && job.attempts < cfg.limits().maxAttempts() && retryTokens >= 1) {
-            long usual = (long) (PATIENCE * job.cost() * Math.max(1, fleetLatency) * SECOND);
-            long hedge = Math.max(usual, spec.aim() / 3);
-            if (hedge < useful - (long) (job.lane.service * SECOND)) { return hedge; }
-        }
-        return spec.lateValue() <= 0 ? Math.max(MS, Math.min(left, useful)) : left;
+        long until = job.lane.spec.lateValue() <= 0 ? job.aimAt() : job.request.deadline();
+        return Math.max(MS, until - now);
     }
 
     /** After an attempt that did not end the request: another one, or the final answer. */
@@ -900,23 +892,22 @@
         boolean ran = job.mayHaveRunSince > 0;
         boolean mayRepeat = !ran || spec.repeat() == Repeat.SAFE
             || spec.repeat() == Repeat.KEYED && now - job.mayHaveRunSince + TICK < spec.keyWindow();
-        if (!mayRepeat || job.attempts >= cfg.limits().maxAttempts() || retryTokens < 1
-            || now + (long) (job.lane.service * SECOND / 2) >= job.aimAt()) {
-            giveUp(job);
-            return;
-        }
-        Backend backend = choose(job);
+        boolean inTime = now + (long) (job.lane.service * SECOND / 2) < job.aimAt();
+        boolean may = mayRepeat && inTime && job.attempts < cfg.limits().maxAttempts() && retryTokens >= 1;
+        Backend backend = may ? choose(job) : null;
         if (backend == null) {
             giveUp(job);
-            return;
+        } else {
+            retryTokens--;
+            send(job, backend);
         }
-        retryTokens--;
-        send(job, backend);
     }
 
     /** The one final answer of a request that is not served: refused if that is true, else failed. */
     private void giveUp(Job job) {
-        if (job.refusable()) {
+        RequestClass spec = job.lane.spec;
+        if (job.mayHaveRunSince == 0 || spec.repeat() == Repeat.SAFE
+            || spec.repeat() == Repeat.KEYED && spec.group() == Group.ALL) {
             out.refuse(job.request.id(), 0);
         } else {
             out.fail(job.request.id());
@@ -927,9 +918,9 @@
     /** The end of a request here; what it took is given back if it was never sent. */
     private void forget(Job job) {
         jobs.remove(job.request.id());
-        if (job.attempts == 0) {
+        if (job.attempts == 0 && job.taken) {
             job.customer.ceiling += job.request.units();
-            if (job.inQuota) { job.customer.use(-job.request.units()); }
+            if (job.inQuota) { job.customer.take(-job.request.units()); }
         }
         if (job.open) {
             job.open = false;
--- a/src/test/java/thistlefall/Host.java
+++ b/src/test/java/thistlefall/Host.java
@@ -40,6 +40,7 @@
     final List<String> logs = new ArrayList<>();
     final Gateway gateway;
     long now = 1_000 * MS;
+    private final int setSize;
     private int ids;
 
     Host(Plan plan, int siblings, int me) {
@@ -47,7 +48,12 @@
     }
 
     Host(Plan plan, int siblings, int me, boolean counter) {
-        gateway = new Gateway(settings(plan, siblings, me, counter), 7, now, this);
+        this(plan, siblings, me, counter, 7);
+    }
+
+    Host(Plan plan, int siblings, int me, boolean counter, long seed) {
+        setSize = siblings;
+        gateway = new Gateway(settings(plan, siblings, me, counter), seed, now, this);
     }
 
     static Settings settings(Plan plan, int siblings, int me, boolean counter) {
@@ -78,7 +84,7 @@
 
     String request(int requestClass, int plan, long customer, double units, long deadline) {
         String id = "r" + ids++;
-        gateway.request(now, new Request(id, requestClass, plan, customer, deadline, units, 3, 0, false));
+        gateway.request(now, new Request(id, requestClass, plan, customer, deadline, units, setSize, 0, false));
         return id;
     }
 
--- a/src/test/java/thistlefall/MechanismTest.java
+++ b/src/test/java/thistlefall/MechanismTest.java
@@ -172,21 +172,58 @@
     }
 
     @Test
-    void pushesAreSpreadInTime() {
-        Host host = new Host(new Plan(10, 30, 0, 1, 0, 1, 0, 0, 0), 3, 0).servers(20);
-        HashSet<Long> moments = new HashSet<>();
-        for (int customer = 0; customer < 40; customer++) {
-            host.gateway.request(host.now, new Request("c" + customer, SAFE, 0, customer,
-                host.now + 3000 * MS, 2, 3, 0, false));
-        }
-        for (int tick = 0; tick < 200; tick++) {
-            int before = host.counted.size();
-            host.pass(10 * MS);
-            if (host.counted.size() > before) {
-                moments.add(host.now);
+    void callsKeepToABudget() {
+        Host host = new Host(new Plan(10, 30, 0, 1, 0, 1, 0, 0, 0), 300, 0).servers(20);
+        int most = 0;
+        for (int tick = 0; tick < 500; tick++) {
+            // A hundred customers at once, each never heard of; the counter turns every call away.
+            if (tick % 100 == 0) {
+                for (int customer = 0; customer < 100; customer++) {
+                    host.request(SAFE, 0, 1000 * tick + customer, 2, host.now + 3000 * MS);
+                }
             }
+            host.pass(10 * MS);
+            most = Math.max(most, host.counted.size());
+            List<Host.Counted> calls = List.copyOf(host.counted);
+            host.counted.clear();
+            calls.forEach(call -> host.gateway.counted(host.now, call.name(), Outcome.FULL, 0));
+        }
+        assertTrue(most >= 1 && most <= 2, "calls at one moment: " + most);
+    }
+
+    @Test
+    void aCustomerNeverHeardOfIsAskedForFirst() {
+        Plan plan = new Plan(10, 30, 0, 1, 0, 1, 0, 0, 0);
+        for (double others : new double[] {0, 100}) {
+            Host host = new Host(plan, 300, 0).servers(20);
+            host.pass(1000 * MS);
+            String id = host.request(SAFE, 0, 7, 2, host.now + 3000 * MS);
+            assertEquals(0, host.sent.size(), "held until the total is there");
+            Host.Counted call = host.counted.get(0);
+            host.gateway.counted(host.now, call.name(), Outcome.OK, call.amount() + others);
+            assertEquals(others > 0 ? 0 : 1, host.attempts(id).size());
+            assertEquals(others > 0 ? 1 : 0, host.refused.size());
+        }
+    }
+
+    @Test
+    void aCallThatNeverEndsDoesNotHoldItsRequest() {
+        Host host = new Host(new Plan(10, 30, 0, 1, 0, 1, 0, 0, 0), 3, 0).servers(20);
+        host.pass(1000 * MS);
+        String id = host.request(SAFE, 1);
+        host.pass(200 * MS);
+        assertEquals(1, host.attempts(id).size());
+    }
+
+    @Test
+    void gatewaysThatKnowNothingSpreadOverTheFleet() {
+        HashSet<String> used = new HashSet<>();
+        for (int seed = 0; seed < 40; seed++) {
+            Host host = new Host(Host.FREE, 40, 0, true, seed).servers(20);
+            host.request(SAFE, 1);
+            used.add(host.sent.get(0).server());
         }
-        assertTrue(moments.size() >= 10, "pushed at " + moments.size() + " moments");
+        assertTrue(used.size() >= 12, "first requests of 40 gateways went to " + used);
     }
 
     @Test
--- a/src/test/java/thistlefall/RulesTest.java
+++ b/src/test/java/thistlefall/RulesTest.java
@@ -183,9 +183,10 @@
 
     private static double flood(Host host, int ticks) {
         for (int i = 0; i < ticks; i++) {
+            int before = host.sent.size();
             host.pass(10 * MS);
             host.request(SAFE, 2);
-            host.attempts("r" + i).forEach(s -> host.end(s.id(), Outcome.OK));
+            host.sent.subList(before, host.sent.size()).stream().toList().forEach(s -> host.end(s.id(), Outcome.OK));
         }
         return 2.0 * host.sent.size();
     }
