--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/thistlefall/Gateway.java
@@ -26,7 +26,7 @@
     private static final double INVERSE_UNIT = 10;
     /** Actuation penalties (the level's loop is the slower), and the least part of each: no class starves. */
     private static final double Q_SHARE = 0.3, Q_LEVEL = 0.7, MIN_SHARE = 0.02, MIN_LEVEL = 0.25;
-    /** Weight of an answer in what is known of a server; memory, in seconds, of that and of the others' use. */
+    /** Weight of an answer in a server's averages; memory, in seconds, of these and of the others' use. */
     private static final double ALPHA = 0.12, ALPHA_ERR = 0.2, FORGIVE_S = 4, OTHERS_S = 3;
     /** How many servers each of as many gateways as servers looks at for a request; two are the least. */
     private static final int LOOK = 3;
@@ -297,10 +297,9 @@
             job.inQuota = true;
             boolean dear = plan.rate() > 0 && plan.beyondEarns() <= plan.beyondCosts();
             boolean old = dear && now - heard > span / 4 && shared && !silent;
-            boolean time = now + 2 * cfg.counter().timeout() < job.aimAt();
-            // Scarce calls go where own traffic tells least and to first tries: repeats mostly follow a refusal.
+            // Scarce calls go where own traffic tells least; to first tries, as repeats mostly follow refusals.
             double spare = job.request.repeat() ? 0.5 : 0.5 * (1 - gateways / (double) cfg.siblings());
-            if (old && time && mayCall(spare)) {
+            if (old && now + 2 * cfg.counter().timeout() < job.aimAt() && mayCall(spare)) {
                 job.asking = true;
                 call(job);
             } else {
