--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/thistlefall/Gateway.java
@@ -297,7 +297,7 @@
             job.inQuota = true;
             boolean dear = plan.rate() > 0 && plan.beyondEarns() <= plan.beyondCosts();
             boolean old = dear && now - heard > span / 4 && shared && !silent;
-            // Scarce calls go where own traffic tells least; to first tries, as repeats mostly follow refusals.
+            // Scarce calls go where own traffic tells least, and to first tries: repeats follow refusals.
             double spare = job.request.repeat() ? 0.5 : 0.5 * (1 - gateways / (double) cfg.siblings());
             if (old && now + 2 * cfg.counter().timeout() < job.aimAt() && mayCall(spare)) {
                 job.asking = true;
