Calls by stake, and one out at a time where gateways are many

Causes: 15 to 20% of calls ran into a full line (the budget grew 10% an answer); at least two out for each of hundreds of gateways are ten a server of two cores. Could harm: a gateway of many with few requests waits for its one slot behind a slow answer.

--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/thistlefall/Gateway.java
@@ -16,10 +16,10 @@
     private static final long TICK = 10 * MS;
     /** How often fresh use is pushed, and for how long no call is answered by a counter that is silent. */
     private static final long PUSH = SECOND / 4, SILENT_AFTER = SECOND / 2;
-    /** Calls to the counter a second at first, and the steps of this budget after prompt and slow answers. */
-    private static final double CALLS_START = 2, CALLS_UP = 1.1, CALLS_DOWN = 0.7;
+    /** Calls to the counter a second at first; their growth, faster by the second, and its step down. */
+    private static final double CALLS_START = 2, CALLS_UP = 0.02, CALLS_MOST_UP = 0.25, CALLS_DOWN = 0.7;
     /** The operator's limit on concurrency: requests in flight for each listed server, over all gateways. */
-    private static final double OPEN_PER_SERVER = 8;
+    private static final double OPEN_PER_SERVER = 6;
     /** The estimator's memory of some 50 intervals, and the bound on its trace in a quiet spell. */
     private static final double FORGET = 0.98, TRACE = 100;
     /** Inverse latency is told in aims over latency, this many being 1, to be of one size with the shares. */
@@ -46,7 +46,7 @@
     private final Lane[] lanes;
     private final Control control;
     private int inFlight;
-    private double retryTokens = RETRY_MOST, virtualTime, sentWork;
+    private double retryTokens = RETRY_MOST, virtualTime, sentWork, usualStake;
     private boolean silent;
     private double callRate = CALLS_START, callTokens;
     /** For each plan the units taken and those of them told to the counter, as of late. */
@@ -185,7 +185,7 @@
             callRate = Math.max(1, callRate * CALLS_DOWN);
             slowedAt = now;
         } else if (!slow && callTokens < callRate / 2) {
-            callRate *= CALLS_UP;
+            callRate *= 1 + Math.min(CALLS_MOST_UP, CALLS_UP * (now - slowedAt) * NANO);
         }
         answeredAt = answered ? now : answeredAt;
         if (silent != now - answeredAt > SILENT_AFTER) {
@@ -196,14 +196,14 @@
         dispatch();
     }
 
-    /** Takes a call from the budget, if that leaves the part of it that is to be spared. */
-    private boolean mayCall(double spare) {
+    /** Takes a call from the budget: the emptier that is, the more must be at stake, in usual stakes. */
+    private boolean mayCall(double stake) {
         // One call a second tells whether a silent counter is back.
         double rate = silent ? 1 : callRate;
-        double most = Math.max(2, rate);
+        double most = Math.max(2 * CALLS_START, rate);
         callTokens = Math.min(most, callTokens + rate * (now - tokensAt) * NANO);
         tokensAt = now;
-        boolean may = callTokens >= 1 + spare * (most - 1);
+        boolean may = callTokens >= 1 && stake >= 2 * (1 - callTokens / most);
         callTokens -= may ? 1 : 0;
         return may;
     }
@@ -297,9 +297,12 @@
             job.inQuota = true;
             boolean dear = plan.rate() > 0 && plan.beyondEarns() <= plan.beyondCosts();
             boolean old = dear && now - heard > span / 4 && shared && !silent;
-            // Scarce calls go where own traffic tells least, and to first tries: repeats follow refusals.
-            double spare = job.request.repeat() ? 0.5 : 0.5 * (1 - gateways / (double) cfg.siblings());
-            if (old && now + 2 * cfg.counter().timeout() < job.aimAt() && mayCall(spare)) {
+            // Scarce calls go where most can be lost and own traffic tells least; repeats follow refusals.
+            double stake = job.lane.spec.worth() * plan.price() * plan.beyondCosts() * units
+                * gateways / cfg.siblings() * (job.request.repeat() ? 0.3 : 1);
+            usualStake += 0.02 * (stake - usualStake);
+            stake /= Math.max(1e-9, usualStake);
+            if (old && now + 2 * cfg.counter().timeout() < job.aimAt() && mayCall(stake)) {
                 job.asking = true;
                 call(job);
             } else {
@@ -348,12 +351,11 @@
 
         /** One call for a customer with fresh use, more often when its store runs low. */
         void push() {
-            // Use of a span ago is no news any more.
             boolean fresh = Math.abs(unpushed) > 1e-6 && now - usedAt < span && shared;
             if (!fresh) {
                 unpushed = 0;
                 if (parked.isEmpty()) { active.remove(this); }
-            } else if (now >= pushAt && mayCall(0.75)) {
+            } else if (now >= pushAt && mayCall(0.25)) {
                 call(null);
             }
         }
@@ -388,7 +390,6 @@
             conclude(call, outcome == Outcome.OK);
         }
 
-        /** The end of a request's wait for the counter. */
         private void conclude(Call call, boolean answered) {
             Job job = call.job;
             if (job == null || !job.asking) { return; }
@@ -526,11 +527,10 @@
         }
     }
 
-    /** Refuses the least worth of a queue too long to be answered within its aim. */
+    /** Refuses the least worth of a queue too long, by Little's law, to be answered within its aim. */
     private void relieve(Lane lane) {
         double backlogged = 0;
         for (Lane other : lanes) { backlogged += other.queue.isEmpty() ? 0 : other.share; }
-        // Little's law tells the rate of release.
         double rate = control.level / lane.service * lane.share / Math.max(MIN_SHARE, backlogged);
         double budget = Math.max(lane.spec.aim() * NANO - 2 * lane.service, lane.spec.aim() * NANO / 4);
         while (inFlight >= control.level && lane.queue.size() > 1 && lane.queue.size() / rate > budget) {
@@ -638,7 +638,7 @@
 
         void boundLevel() {
             double before = limit;
-            limit = Math.max(2, Math.ceil(OPEN_PER_SERVER * listed.size() / cfg.siblings()));
+            limit = Math.max(1, Math.rint(OPEN_PER_SERVER * listed.size() / cfg.siblings()));
             level = levelModel.updates == 0 || level >= before ? limit : Math.min(level, limit);
         }
 
@@ -753,7 +753,7 @@
             lastInverse = inverse;
             bound = false;
             u = Double.isFinite(u) ? Math.max(MIN_LEVEL, Math.min(1, u)) : 1;
-            level = Math.max(2, Math.rint(u * limit));
+            level = Math.max(1, Math.rint(u * limit));
         }
     }
 
@@ -808,12 +808,12 @@
 
         void ended(Job job, Result result) {
             outstanding.remove(job);
-            double took = result.took() * NANO;
             Outcome o = result.outcome();
             if (o == Outcome.CANCELLED || o == Outcome.NOT_SENT) { return; }
             boolean good = o == Outcome.OK;
             // A fast failure must not look fast.
-            double ratio = Math.min(20, (good ? took : Math.max(took, 3 * job.lane.service)) / job.cost());
+            double took = Math.max(result.took() * NANO, good ? 0 : 3 * job.lane.service);
+            double ratio = Math.min(20, took / job.cost());
             double bad = good ? 0 : o == Outcome.FULL ? 0.5 : 1;
             // Where one gateway of many hears little of a server, it goes by what it hears of its like.
             double small = 2 * ALPHA / Math.max(1, listed.size());
