Reports: where own answers are rare each request probes one server by chance

Cause: 10 to 20% of attempts timed out at slow or full servers that one gateway of many cannot know by its own answers. Could harm: where probing is dear and requests are cheap.

--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/thistlefall/Gateway.java
@@ -1,6 +1,7 @@
 package thistlefall;
 
 import java.util.*;
+import java.util.stream.*;
 import org.ejml.simple.SimpleMatrix;
 import thistlefall.Ports.*;
 
@@ -33,6 +34,9 @@
     /** Further attempts per first one, how many may be saved up; the usual spans that a first one needs. */
     private static final double RETRY_RATIO = 0.2, RETRY_MOST = 20, MARGIN = 1.5;
 
+    /** The values of a load report that tell how busy a server is; their life in seconds; how many stay. */
+    private static final Set<String> LOADS = Set.of("waiting", "active", "cpu");
+    private static final double REPORT_S = 1, RECENT = 3;
     private final Settings cfg;
     private final Actions out;
     private final SplittableRandom random;
@@ -43,15 +47,16 @@
     private final Map<String, Backend> servers = new LinkedHashMap<>();
     private List<Backend> listed = List.of();
     private final Map<Integer, Double> kindLatency = new HashMap<>(), zoneErrors = new HashMap<>();
+    private final ArrayDeque<Backend> lastProbed = new ArrayDeque<>();
     private final Lane[] lanes;
     private final Control control;
     private int inFlight;
-    private double retryTokens = RETRY_MOST, virtualTime, sentWork, usualStake;
+    private double retryTokens = RETRY_MOST, virtualTime, sentWork, usualStake, usualLoad;
     private boolean silent;
     private double callRate = CALLS_START, callTokens;
     /** For each plan the units taken and those of them told to the counter, as of late. */
     private final double[] taken, told;
-    /** Customers with something to push or with parked requests. */
+    /** Customers with something to push. */
     private final Set<Customer> active = new LinkedHashSet<>();
     private final Map<Long, ArrayDeque<Call>> calls = new LinkedHashMap<>();
 
@@ -85,7 +90,6 @@
         }
         for (Server entry : entries) {
             Backend known = servers.get(entry.id());
-            // What was learned of a server before it started anew tells nothing of it now.
             boolean anew = known == null || known.entry.startedAt() != entry.startedAt();
             Backend backend = anew ? new Backend(entry) : known;
             servers.put(entry.id(), backend);
@@ -117,19 +121,12 @@
         dispatch();
     }
 
-    /** Queues what was admitted, or parks it where its customer has as many out as one gateway may. */
     private void enqueue(Job job) {
-        Customer customer = job.customer;
-        int most = customer.plan.atOnce();
-        if (most > 0 && customer.open >= Math.max(1, most / customer.gateways)) {
-            customer.parked.add(job);
-            active.add(customer);
-        } else {
-            customer.open++;
-            job.open = true;
-            job.lane.queue.add(job);
-            relieve(job.lane);
-        }
+        job.customer.open++;
+        job.open = true;
+        job.lane.queue.add(job);
+        relieve(job.lane);
+        probe(job);
     }
 
     @Override public void attemptEnded(long at, Result result) {
@@ -166,7 +163,6 @@
         job.over = true;
         if (job.backend == null && !job.asking) {
             job.lane.queue.remove(job);
-            job.customer.parked.remove(job);
             forget(job);
         }
     }
@@ -208,22 +204,40 @@
         return may;
     }
 
-    @Override public void probed(long at, String id, Outcome how, long took, List<Double> load) { now = at; }
+    @Override public void probed(long at, String id, Outcome how, long took, List<Double> report) {
+        now = at;
+        Backend backend = servers.get(id);
+        if (backend == null) { return; }
+        // A server that keeps its load to itself, or does not answer, is not idle.
+        double load = report.isEmpty() ? 1 + 2 * usualLoad : 0;
+        for (int i = 0; i < Math.min(report.size(), cfg.reports().size()); i++) {
+            load += LOADS.contains(cfg.reports().get(i)) ? report.get(i) : 0;
+        }
+        usualLoad += 0.05 * (load - usualLoad);
+        backend.load = load;
+        backend.reported = now;
+        lastProbed.add(backend);
+        if (lastProbed.size() > RECENT) { lastProbed.remove(); }
+    }
+
+    /** Where own answers come less than once a second from each server, each request probes one by chance. */
+    private void probe(Job job) {
+        boolean rare = sentWork < job.cost() * listed.size();
+        if (rare && cfg.limits().probes() && !cfg.reports().isEmpty()) {
+            out.probe(listed.get(random.nextInt(listed.size())).id);
+        }
+    }
 
     @Override public void timer(long at, long token) {
         now = at;
         out.timer(0, TICK);
         for (Lane lane : lanes) { expire(lane.queue); }
+        // A host that never ends a call must not cost a request its answer.
+        long due = now - 2 * cfg.counter().timeout();
         for (ArrayDeque<Call> line : calls.values()) {
-            for (Call call : line) {
-                // A host that never ends a call must not cost a request its answer.
-                if (now - call.at > 2 * cfg.counter().timeout()) { call.customer.conclude(call, false); }
-            }
-        }
-        for (Customer customer : List.copyOf(active)) {
-            expire(customer.parked);
-            customer.push();
+            line.stream().filter(call -> call.at < due).forEach(call -> call.customer.conclude(call, false));
         }
+        List.copyOf(active).forEach(Customer::push);
         if (now >= nextControl) {
             nextControl += SECOND;
             control.interval();
@@ -242,7 +256,6 @@
         private final Plan plan;
         private final int gateways, place;
         private final boolean shared;
-        private final ArrayDeque<Job> parked = new ArrayDeque<>();
         /** The count of the present window: its number, this gateway's part and the others'. */
         private long window = Long.MIN_VALUE, refilled, heard, pushAt, usedAt;
         private double mine, others;
@@ -323,7 +336,9 @@
 
         private void decide(Job job, double keptBack) {
             double units = job.request.units();
-            job.inQuota = plan.rate() <= 0 || store >= keptBack;
+            // Nobody tells how many the others have out: the cap on these is divided, and each may have one.
+            boolean room = plan.atOnce() <= 0 || open < Math.max(1, plan.atOnce() / gateways);
+            job.inQuota = room && (plan.rate() <= 0 || store >= keptBack);
             if (!job.inQuota) { take(-units); }
             if (job.inQuota || plan.beyondEarns() > plan.beyondCosts()) {
                 enqueue(job);
@@ -354,7 +369,7 @@
             boolean fresh = Math.abs(unpushed) > 1e-6 && now - usedAt < span && shared;
             if (!fresh) {
                 unpushed = 0;
-                if (parked.isEmpty()) { active.remove(this); }
+                active.remove(this);
             } else if (now >= pushAt && mayCall(0.25)) {
                 call(null);
             }
@@ -362,10 +377,8 @@
 
         private void call(Job job) {
             long index = Math.floorDiv(now + phase, span);
-            if (window != index) {
-                window = index;
-                mine = others = 0;
-            }
+            if (window != index) { mine = others = 0; }
+            window = index;
             double amount = Math.rint(unpushed * 1e6) * 1e-6;
             told[place] += amount;
             pushAt = now + (store < plan.burst() / 2 ? PUSH : SECOND);
@@ -403,8 +416,8 @@
 
         private void learn(Call call, double total) {
             double theirs = total - mine;
+            // Lost counts: what is there now is new since the loss, and tells of the others what it can.
             if (theirs < -1e-3 || theirs < others - plan.burst() / 2) {
-                // Lost counts: what is there now is new since the loss, and tells of the others what it can.
                 mine = call.amount;
                 others = 0;
                 theirs = Math.max(0, total - call.amount);
@@ -429,16 +442,6 @@
             store = Math.max(Math.min(plan.burst(), store - news + foreseen), -cfg.counter().largest());
             foreseen = 0;
         }
-
-        void freed() {
-            open--;
-            Job next = parked.poll();
-            if (next != null) {
-                open++;
-                next.open = true;
-                next.lane.queue.add(next);
-            }
-        }
     }
 
     /** A request taken and not yet finished. */
@@ -482,9 +485,8 @@
     private final class Lane {
         private final RequestClass spec;
         private final ArrayDeque<Job> queue = new ArrayDeque<>();
-        private double share, finishTag, service, units = 1, price = 1;
+        private double share, finishTag, service, units = 1, price = 1, latencySum, waitSum;
         private int arrivals, good;
-        private double latencySum, waitSum;
         private final List<Double> services = new ArrayList<>();
 
         Lane(RequestClass spec) {
@@ -510,12 +512,6 @@
                 services.add(Math.max(took, 2 * spec.aim() * NANO));
             }
         }
-
-        void resetInterval() {
-            arrivals = good = 0;
-            latencySum = waitSum = 0;
-            services.clear();
-        }
     }
 
     /** Answers what has waited too long; a short deadline may stand behind a long one. */
@@ -529,8 +525,7 @@
 
     /** Refuses the least worth of a queue too long, by Little's law, to be answered within its aim. */
     private void relieve(Lane lane) {
-        double backlogged = 0;
-        for (Lane other : lanes) { backlogged += other.queue.isEmpty() ? 0 : other.share; }
+        double backlogged = Arrays.stream(lanes).mapToDouble(l -> l.queue.isEmpty() ? 0 : l.share).sum();
         double rate = control.level / lane.service * lane.share / Math.max(MIN_SHARE, backlogged);
         double budget = Math.max(lane.spec.aim() * NANO - 2 * lane.service, lane.spec.aim() * NANO / 4);
         while (inFlight >= control.level && lane.queue.size() > 1 && lane.queue.size() / rate > budget) {
@@ -645,8 +640,7 @@
         void interval() {
             double total = Arrays.stream(lanes).mapToInt(lane -> lane.good).sum();
             scale += 0.2 * (Math.max(1, total) - scale);
-            double[] y = new double[2 * n];
-            double[] seen = new double[2 * n];
+            double[] y = new double[2 * n], seen = new double[2 * n];
             for (int i = 0; i < n; i++) {
                 Lane lane = lanes[i];
                 // An idle class tells nothing: its rows keep their fit.
@@ -661,7 +655,11 @@
             lastY = y;
             if (shareModel.updates >= 3 * n) { steerShares(y, seen); }
             steerLevel();
-            for (Lane lane : lanes) { lane.resetInterval(); }
+            for (Lane lane : lanes) {
+                lane.arrivals = lane.good = 0;
+                lane.latencySum = lane.waitSum = 0;
+                lane.services.clear();
+            }
         }
 
         private SimpleMatrix regressor(double[] y, double[] shares) {
@@ -763,8 +761,8 @@
         private Server entry;
         private boolean ready, shunned;
         private final LinkedHashSet<Job> outstanding = new LinkedHashSet<>();
-        private double latency, errors;
-        private long heard = now, coldAt = now;
+        private double latency, errors, load;
+        private long heard = now, coldAt = now, reported = born;
 
         Backend(Server entry) {
             id = entry.id();
@@ -787,9 +785,9 @@
 
         double risk() { return lately(errors, zoneErrors.getOrDefault(entry.zone(), 0.0)); }
 
-        boolean groupedWith(Backend other, Group group) {
-            Server a = entry, b = other.entry;
-            return group == Group.ZONE ? a.zone() == b.zone() : a.cell() == b.cell();
+        boolean groupedWith(Job job) {
+            Server b = job.anchor.entry;
+            return job.lane.spec.group() == Group.ZONE ? entry.zone() == b.zone() : entry.cell() == b.cell();
         }
 
         double score() {
@@ -802,6 +800,8 @@
             // One that fails is left alone until it is forgiven, unless the others fail as much.
             double safe = 1 - Math.min(0.97, risk());
             double weight = cfg.sizesTell() && entry.size() > 0 ? entry.size() : 1;
+            double told = (load - usualLoad) / (1 + usualLoad);
+            l *= 1 + told * Math.exp(-(now - reported) * NANO / REPORT_S);
             double s = l * (1 + outstanding.size() / weight) / (safe * safe);
             return entry.zone() == cfg.zone() ? s : s * 1.05;
         }
@@ -812,8 +812,8 @@
             if (o == Outcome.CANCELLED || o == Outcome.NOT_SENT) { return; }
             boolean good = o == Outcome.OK;
             // A fast failure must not look fast.
-            double took = Math.max(result.took() * NANO, good ? 0 : 3 * job.lane.service);
-            double ratio = Math.min(20, took / job.cost());
+            double ratio = Math.min(20, result.took() * NANO / job.cost());
+            ratio = good ? ratio : Math.max(3, ratio);
             double bad = good ? 0 : o == Outcome.FULL ? 0.5 : 1;
             // Where one gateway of many hears little of a server, it goes by what it hears of its like.
             double small = 2 * ALPHA / Math.max(1, listed.size());
@@ -833,11 +833,11 @@
 
     /** All that drop a bound request's repeats, else some by chance: ranked alike, few would get all. */
     private List<Backend> candidates(Job job, boolean bound) {
-        Group group = job.lane.spec.group();
-        if (bound) { return listed.stream().filter(b -> b.groupedWith(job.anchor, group)).toList(); }
+        if (bound) { return listed.stream().filter(b -> b.groupedWith(job)).toList(); }
         int most = Math.max(2, LOOK * listed.size() / cfg.siblings());
         if (most >= listed.size()) { return listed; }
-        return random.ints(0, listed.size()).distinct().limit(most).mapToObj(listed::get).toList();
+        IntStream chance = random.ints(0, listed.size()).distinct().limit(most);
+        return Stream.concat(lastProbed.stream().filter(b -> b.ready), chance.mapToObj(listed::get)).toList();
     }
 
     /** The candidate that should answer soonest; null if none may be used now. */
@@ -866,8 +866,7 @@
     }
 
     private void send(Job job, Backend backend) {
-        sentWork *= Math.exp(-(now - sentWorkAt) * NANO / 4);
-        sentWork += job.cost() / 4;
+        sentWork = sentWork * Math.exp(-(now - sentWorkAt) * NANO / 4) + job.cost() / 4;
         sentWorkAt = now;
         if (job.attempts == 0) { retryTokens = Math.min(RETRY_MOST, retryTokens + RETRY_RATIO); }
         job.attempts++;
@@ -923,7 +922,7 @@
         }
         if (job.open) {
             job.open = false;
-            job.customer.freed();
+            job.customer.open--;
         }
     }
 }
