Many gateways: fractions of a request in flight; old acquaintances; what never ran is not charged

Change: a level under one rests after each answer; servers that answered last are candidates beside those by chance; an attempt proved never to have run takes nothing from the retry budget (also throttle, where a server says full to a plan). Could harm: all servers full means several attempts a request; a slow single answer makes a long rest.

--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/thistlefall/Gateway.java
@@ -36,21 +36,21 @@
 
     /** The values of a load report that tell how busy a server is; their life in seconds; how many stay. */
     private static final Set<String> LOADS = Set.of("waiting", "active", "cpu");
-    private static final double REPORT_S = 1, RECENT = 3;
+    private static final int REPORT_S = 1, RECENT = 6;
     private final Settings cfg;
     private final Actions out;
     private final SplittableRandom random;
     private final long born;
-    private long now, nextControl, answeredAt, tokensAt, slowedAt, sentWorkAt;
+    private long now, nextControl, answeredAt, tokensAt, slowedAt, sentWorkAt, restUntil;
     private final Map<String, Job> jobs = new HashMap<>();
     private final Map<Long, Customer> customers = new LinkedHashMap<>();
     private final Map<String, Backend> servers = new LinkedHashMap<>();
     private List<Backend> listed = List.of();
     private final Map<Integer, Double> kindLatency = new HashMap<>(), zoneErrors = new HashMap<>();
-    private final ArrayDeque<Backend> lastProbed = new ArrayDeque<>();
+    private final Backend[] lastHeard = new Backend[RECENT];
     private final Lane[] lanes;
     private final Control control;
-    private int inFlight;
+    private int inFlight, heardCount;
     private double retryTokens = RETRY_MOST, virtualTime, sentWork, usualStake, usualLoad;
     private boolean silent;
     private double callRate = CALLS_START, callTokens;
@@ -91,6 +91,7 @@
         for (Server entry : entries) {
             Backend known = servers.get(entry.id());
             boolean anew = known == null || known.entry.startedAt() != entry.startedAt();
+            if (known != null) { known.ready = false; }
             Backend backend = anew ? new Backend(entry) : known;
             servers.put(entry.id(), backend);
             backend.entry = entry;
@@ -136,6 +137,8 @@
         Backend backend = job.backend;
         job.backend = null;
         inFlight--;
+        // A level under one is kept over time: hundreds with one out each may be too many for a small fleet.
+        restUntil = now + (long) (result.took() * Math.max(0, 1 / control.level - 1));
         backend.ended(job, result);
         job.lane.observe(job, result);
         boolean told = cfg.counter().settles() && result.trueUnits() > 0;
@@ -149,7 +152,7 @@
         if (result.complete() || job.over) {
             forget(job);
         } else {
-            again(job);
+            again(job, result.outcome().provesNeverRan());
         }
         dispatch();
     }
@@ -175,8 +178,7 @@
         if (pending.isEmpty()) { calls.remove(name); }
         boolean answered = outcome == Outcome.OK;
         boolean slow = !answered || now - call.at > cfg.counter().timeout() / 3;
-        // A crowded counter's line outlasts the time-out, and then no call is answered at all: each gateway
-        // backs off at the first long wait. A burst of slow answers is one piece of news.
+        // A full line outlasts the time-out, and no call is answered: back off at the first long wait.
         if (slow && now - slowedAt > PUSH) {
             callRate = Math.max(1, callRate * CALLS_DOWN);
             slowedAt = now;
@@ -216,8 +218,7 @@
         usualLoad += 0.05 * (load - usualLoad);
         backend.load = load;
         backend.reported = now;
-        lastProbed.add(backend);
-        if (lastProbed.size() > RECENT) { lastProbed.remove(); }
+        lastHeard[heardCount++ % RECENT] = backend;
     }
 
     /** Where own answers come less than once a second from each server, each request probes one by chance. */
@@ -286,8 +287,7 @@
         void refill() {
             double s = (now - refilled) * NANO;
             refilled = now;
-            // Two seconds' totals would let a long burst pass for ever: they feed an estimate of the store.
-            // Between totals the others go on as they did; without news the quota is divided.
+            // Totals feed an estimate: between them the others go on as they did; unheard of, it is divided.
             double others = s * Math.min(plan.rate() * (deaf ? 1 - 1.0 / gateways : 1),
                 deaf ? plan.rate() : othersRate);
             foreseen += others;
@@ -538,7 +538,7 @@
 
     /** Releases requests by start tag while fewer than the concurrency level are out. */
     private void dispatch() {
-        while (inFlight < control.level) {
+        while (inFlight < control.level && now >= restUntil) {
             Lane next = Arrays.stream(lanes).filter(lane -> !lane.queue.isEmpty())
                 .min(Comparator.comparingDouble(Lane::startTag)).orElse(null);
             if (next == null) { return; }
@@ -633,7 +633,8 @@
 
         void boundLevel() {
             double before = limit;
-            limit = Math.max(1, Math.rint(OPEN_PER_SERVER * listed.size() / cfg.siblings()));
+            double part = Math.max(MIN_LEVEL, OPEN_PER_SERVER * listed.size() / cfg.siblings());
+            limit = part > 1 ? Math.rint(part) : part;
             level = levelModel.updates == 0 || level >= before ? limit : Math.min(level, limit);
         }
 
@@ -751,7 +752,7 @@
             lastInverse = inverse;
             bound = false;
             u = Double.isFinite(u) ? Math.max(MIN_LEVEL, Math.min(1, u)) : 1;
-            level = Math.max(1, Math.rint(u * limit));
+            level = u * limit > 1 ? Math.rint(u * limit) : u * limit;
         }
     }
 
@@ -797,11 +798,9 @@
                 Job oldest = outstanding.iterator().next();
                 l = Math.max(l, (now - oldest.sentAt) * NANO / oldest.cost() / 2);
             }
-            // One that fails is left alone until it is forgiven, unless the others fail as much.
             double safe = 1 - Math.min(0.97, risk());
             double weight = cfg.sizesTell() && entry.size() > 0 ? entry.size() : 1;
-            double told = (load - usualLoad) / (1 + usualLoad);
-            l *= 1 + told * Math.exp(-(now - reported) * NANO / REPORT_S);
+            l *= 1 + (load - usualLoad) / (1 + usualLoad) * Math.exp(-(now - reported) * NANO / REPORT_S);
             double s = l * (1 + outstanding.size() / weight) / (safe * safe);
             return entry.zone() == cfg.zone() ? s : s * 1.05;
         }
@@ -822,6 +821,7 @@
             latency = lately(latency, kindLatency.get(entry.kind()));
             errors = risk();
             heard = now;
+            if (good) { lastHeard[heardCount++ % RECENT] = this; }
             latency += ALPHA * (ratio - latency);
             errors += (o == Outcome.CONNECT_FAILED ? 1 : good ? ALPHA_ERR : 2 * ALPHA_ERR) * (bad - errors);
             if (shunned != errors > 0.5) {
@@ -836,8 +836,8 @@
         if (bound) { return listed.stream().filter(b -> b.groupedWith(job)).toList(); }
         int most = Math.max(2, LOOK * listed.size() / cfg.siblings());
         if (most >= listed.size()) { return listed; }
-        IntStream chance = random.ints(0, listed.size()).distinct().limit(most);
-        return Stream.concat(lastProbed.stream().filter(b -> b.ready), chance.mapToObj(listed::get)).toList();
+        Stream<Backend> chance = random.ints(0, listed.size()).distinct().limit(most).mapToObj(listed::get);
+        return Stream.concat(chance, Arrays.stream(lastHeard).filter(b -> b != null && b.ready)).toList();
     }
 
     /** The candidate that should answer soonest; null if none may be used now. */
@@ -885,18 +885,18 @@
     }
 
     /** After an attempt that did not end the request: another one, or the final answer. */
-    private void again(Job job) {
+    private void again(Job job, boolean neverRan) {
         RequestClass spec = job.lane.spec;
-        boolean ran = job.mayHaveRunSince > 0;
-        boolean mayRepeat = !ran || spec.repeat() == Repeat.SAFE
+        boolean mayRepeat = job.mayHaveRunSince == 0 || spec.repeat() == Repeat.SAFE
             || spec.repeat() == Repeat.KEYED && now - job.mayHaveRunSince + TICK < spec.keyWindow();
         boolean inTime = now + (long) (job.lane.service * SECOND / 2) < job.aimAt();
-        boolean may = mayRepeat && inTime && job.attempts < cfg.limits().maxAttempts() && retryTokens >= 1;
-        Backend backend = may ? choose(job) : null;
+        double price = neverRan ? 0 : 1;
+        boolean may = mayRepeat && inTime && retryTokens >= price;
+        Backend backend = may && job.attempts < cfg.limits().maxAttempts() ? choose(job) : null;
         if (backend == null) {
             giveUp(job);
         } else {
-            retryTokens--;
+            retryTokens -= price;
             send(job, backend);
         }
     }
