--- a/src/main/java/thistlefall/Gateway.java
+++ b/src/main/java/thistlefall/Gateway.java
@@ -52,7 +52,7 @@
     private final Control control;
     private int inFlight, heardCount;
     private double retryTokens = RETRY_MOST, virtualTime, sentWork, usualStake, usualLoad;
-    private boolean silent;
+    private boolean silent, denied;
     private double callRate = CALLS_START, callTokens;
     /** For each plan the units taken and those of them told to the counter, as of late. */
     private final double[] taken, told;
@@ -123,8 +123,6 @@
     }
 
     private void enqueue(Job job) {
-        job.customer.open++;
-        job.open = true;
         job.lane.queue.add(job);
         relieve(job.lane);
         probe(job);
@@ -182,7 +180,8 @@
         if (slow && now - slowedAt > PUSH) {
             callRate = Math.max(1, callRate * CALLS_DOWN);
             slowedAt = now;
-        } else if (!slow && callTokens < callRate / 2) {
+        } else if (!slow && denied) {
+            denied = false;
             callRate *= 1 + Math.min(CALLS_MOST_UP, CALLS_UP * (now - slowedAt) * NANO);
         }
         answeredAt = answered ? now : answeredAt;
@@ -196,13 +195,13 @@
 
     /** Takes a call from the budget: the emptier that is, the more must be at stake, in usual stakes. */
     private boolean mayCall(double stake) {
-        // One call a second tells whether a silent counter is back.
         double rate = silent ? 1 : callRate;
         double most = Math.max(2 * CALLS_START, rate);
         callTokens = Math.min(most, callTokens + rate * (now - tokensAt) * NANO);
         tokensAt = now;
         boolean may = callTokens >= 1 && stake >= 2 * (1 - callTokens / most);
         callTokens -= may ? 1 : 0;
+        denied |= !may;
         return may;
     }
 
@@ -321,7 +320,6 @@
             } else {
                 if (gateways > 1 && now - heard > span) { divide(); }
                 boolean doubtful = deaf && job.request.repeat() && plan.burst() / gateways < units;
-                // What the others may use before they hear of ours is kept back.
                 decide(job, doubtful ? Double.MAX_VALUE : othersRate * PUSH * NANO);
             }
         }
@@ -336,9 +334,7 @@
 
         private void decide(Job job, double keptBack) {
             double units = job.request.units();
-            // Nobody tells how many the others have out: the cap on these is divided, and each may have one.
-            boolean room = plan.atOnce() <= 0 || open < Math.max(1, plan.atOnce() / gateways);
-            job.inQuota = room && (plan.rate() <= 0 || store >= keptBack);
+            job.inQuota = plan.rate() <= 0 || store >= keptBack;
             if (!job.inQuota) { take(-units); }
             if (job.inQuota || plan.beyondEarns() > plan.beyondCosts()) {
                 enqueue(job);
@@ -470,6 +466,12 @@
 
         long aimAt() { return Math.min(arrived + lane.spec.aim(), request.deadline()); }
 
+        /** Nobody tells how many the others have out: a cap on these is divided, and each may have one. */
+        boolean mayGo() {
+            int most = customer.plan.atOnce();
+            return most <= 0 || customer.open < Math.max(1, most / customer.gateways);
+        }
+
         /** Too late to be sent for the first time and answered within its aim. */
         boolean hopeless() {
             long need = attempts == 0 ? (long) (MARGIN * cost() * SECOND) : 0;
@@ -495,7 +497,9 @@
         }
 
         /** Start tag of the head. Computed at release, so that a changed share acts on what is queued too. */
-        double startTag() { return Math.max(queue.peek().vAtArrival, finishTag); }
+        double startTag() { return Math.max(first().vAtArrival, finishTag); }
+
+        Job first() { return queue.stream().filter(Job::mayGo).findFirst().orElse(null); }
 
         void observe(Job job, Result result) {
             double took = result.took() * NANO;
@@ -539,19 +543,19 @@
     /** Releases requests by start tag while fewer than the concurrency level are out. */
     private void dispatch() {
         while (inFlight < control.level && now >= restUntil) {
-            Lane next = Arrays.stream(lanes).filter(lane -> !lane.queue.isEmpty())
+            Lane next = Arrays.stream(lanes).filter(lane -> lane.first() != null)
                 .min(Comparator.comparingDouble(Lane::startTag)).orElse(null);
             if (next == null) { return; }
-            Job job = next.queue.peek();
+            Job job = next.first();
             if (job.hopeless()) {
-                next.queue.poll();
+                next.queue.remove(job);
                 giveUp(job);
                 continue;
             }
             Backend backend = choose(job);
             if (backend == null) { return; }
             double start = next.startTag();
-            next.queue.poll();
+            next.queue.remove(job);
             virtualTime = start;
             next.finishTag = start + 1 / next.share;
             send(job, backend);
@@ -644,7 +648,6 @@
             double[] y = new double[2 * n], seen = new double[2 * n];
             for (int i = 0; i < n; i++) {
                 Lane lane = lanes[i];
-                // An idle class tells nothing: its rows keep their fit.
                 boolean live = lane.good > 0;
                 y[i] = lane.good / scale;
                 double inverse = lane.spec.aim() * NANO * lane.good / Math.max(1e-6, lane.latencySum);
@@ -869,6 +872,8 @@
         sentWork = sentWork * Math.exp(-(now - sentWorkAt) * NANO / 4) + job.cost() / 4;
         sentWorkAt = now;
         if (job.attempts == 0) { retryTokens = Math.min(RETRY_MOST, retryTokens + RETRY_RATIO); }
+        job.customer.open += job.open ? 0 : 1;
+        job.open = true;
         job.attempts++;
         job.backend = backend;
         job.sentAt = now;
@@ -920,9 +925,6 @@
             job.customer.ceiling += job.request.units();
             if (job.inQuota) { job.customer.take(-job.request.units()); }
         }
-        if (job.open) {
-            job.open = false;
-            job.customer.open--;
-        }
+        job.customer.open -= job.open ? 1 : 0;
     }
 }
