Reactor of core, drill, edge, standin and cli; module forgets idle customers and gone servers

Need: the program around the decisions wants modules with arrows that hold, and a module that lives for months. Gateway and Ports are moved as they were; ArchUnit holds core free of I/O, threads and clocks.

Memory: customers and servers were kept for ever (a million passing customers: a million entries, shown by the test before the change). A customer is now forgotten two minutes after its last use if its stores are full and nothing is held, two looked at for each newcomer; a gone server after as long. Neither gains by it: tests with a slow quota and a slow ceiling.

--- /dev/null
+++ b/cli/src/main/java/thistlefall/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command thistlefall and the thin daemon. */
+package thistlefall.cli;
--- a/src/main/java/thistlefall/Gateway.java
+++ b/core/src/main/java/thistlefall/Gateway.java
@@ -37,11 +37,13 @@
     /** The values of a load report that tell how busy a server is; their life in seconds; how many stay. */
     private static final Set<String> LOADS = Set.of("waiting", "active", "cpu");
     private static final int REPORT_S = 1, RECENT = 6;
+    /** What nothing was heard of for so long is forgotten, once nothing is out and its stores are full. */
+    private static final long KEPT = 120 * SECOND;
     private final Settings cfg;
     private final Actions out;
     private final SplittableRandom random;
     private final long born;
-    private long now, nextControl, answeredAt, tokensAt, slowedAt, sentWorkAt, restUntil;
+    private long now, nextControl, answeredAt, tokensAt, slowedAt, sentWorkAt, restUntil, sweptAt;
     private final Map<String, Job> jobs = new HashMap<>();
     private final Map<Long, Customer> customers = new LinkedHashMap<>();
     private final Map<String, Backend> servers = new LinkedHashMap<>();
@@ -80,6 +82,9 @@
         if (cfg.limits().askForList()) { out.watchList(); }
     }
 
+    /** How many customers and servers it remembers. */
+    int remembered() { return customers.size() + servers.size(); }
+
     @Override public void list(long at, ListKind kind, List<Server> entries) {
         now = at;
         if (kind == ListKind.FAILED) {
@@ -98,6 +103,11 @@
             backend.ready = entry.readiness() == Readiness.READY;
         }
         listed = servers.values().stream().filter(b -> b.ready).toList();
+        if (now - sweptAt > KEPT) {
+            // A fleet replaced by the hour must not be remembered for months.
+            sweptAt = now;
+            servers.values().removeIf(Backend::forgettable);
+        }
         control.boundLevel();
         dispatch();
     }
@@ -108,7 +118,12 @@
             && request.plan() >= 0 && request.plan() < cfg.plans().size();
         if (!known) { out.refuse(request.id(), 0); }
         if (!known || jobs.containsKey(request.id())) { return; }
-        Customer customer = customers.computeIfAbsent(request.customer(), key -> new Customer(key, request));
+        Customer customer = customers.get(request.customer());
+        if (customer == null) {
+            forgetIdle();
+            customer = new Customer(request.customer(), request);
+            customers.put(request.customer(), customer);
+        }
         Lane lane = lanes[request.requestClass()];
         lane.arrivals++;
         Job job = new Job(request, customer, lane);
@@ -122,6 +137,15 @@
         dispatch();
     }
 
+    /** Each new customer looks at the two longest unlooked at: memory follows those in use, at no walk. */
+    private void forgetIdle() {
+        for (int i = 0; i < 2 && !customers.isEmpty(); i++) {
+            Customer eldest = customers.values().iterator().next();
+            customers.remove(eldest.key);
+            if (!eldest.forgettable()) { customers.put(eldest.key, eldest); }
+        }
+    }
+
     private void enqueue(Job job) {
         job.lane.queue.add(job);
         relieve(job.lane);
@@ -262,7 +286,7 @@
         /** The quota's store as estimated here; the others' use: its rate, and what was foreseen of it. */
         private double store, othersRate, foreseen, unpushed, ceiling;
         private boolean deaf;
-        private int open;
+        private int open, held;
 
         Customer(long key, Request first) {
             this.key = key;
@@ -294,6 +318,14 @@
             ceiling = Math.min(plan.ceilingBurst() / gateways, ceiling + s * plan.ceilingRate() / gateways);
         }
 
+        /** Anew it would start as it is now: full, and not heard of. It gains nothing by being forgotten. */
+        boolean forgettable() {
+            refill();
+            boolean full = store >= plan.burst()
+                && (plan.ceilingRate() <= 0 || ceiling >= plan.ceilingBurst() / gateways);
+            return full && held == 0 && now - Math.max(usedAt, heard) > KEPT && !active.contains(this);
+        }
+
         /** Decides at once on fresh news; else the units go to the counter first and the total decides. */
         void admit(Job job) {
             refill();
@@ -457,6 +489,7 @@
             this.request = request;
             this.customer = customer;
             this.lane = lane;
+            customer.held++;
         }
 
         double worth() {
@@ -777,6 +810,10 @@
 
         boolean cold() { return entry.startedAt() > 0 && now - entry.startedAt() < cfg.rules().coldSpan(); }
 
+        boolean forgettable() {
+            return !ready && outstanding.isEmpty() && now - Math.max(heard, coldAt) > KEPT;
+        }
+
         double warmth() {
             double age = Math.max(0, now - entry.startedAt()) / (double) Math.max(1, cfg.rules().coldSpan());
             return cfg.rules().coldFrom() + (1 - cfg.rules().coldFrom()) * Math.min(1, age);
@@ -926,5 +963,6 @@
             if (job.inQuota) { job.customer.take(-job.request.units()); }
         }
         job.customer.open -= job.open ? 1 : 0;
+        job.customer.held--;
     }
 }
--- /dev/null
+++ b/core/src/main/java/thistlefall/ledger/Answer.java
@@ -0,0 +1,11 @@
+package thistlefall.ledger;
+
+/** The kinds of final answer. */
+public enum Answer {
+    /** A server's answer is passed on. */
+    SERVED,
+    /** Not done, and trying again is harmless. */
+    REFUSED,
+    /** No promise about the effect. */
+    FAILED
+}
--- /dev/null
+++ b/core/src/main/java/thistlefall/roster/Roster.java
@@ -0,0 +1,122 @@
+package thistlefall.roster;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import thistlefall.Ports.ListKind;
+import thistlefall.Ports.Readiness;
+import thistlefall.Ports.Server;
+
+/**
+ * The node's view of the server list, between its source and the module. A fault of the source never empties the
+ * list: a failed or garbled answer leaves it as it is, an old one is passed over, and one that drops all or most
+ * servers at once must be told again, by an answer at least {@link Policy#confirmAfter} later, before it counts.
+ * A server that is named as draining or gone is taken out at once whatever else the answer holds, since rule 3
+ * counts from the word.
+ *
+ * <p>Pure; times are nanoseconds of one clock. Not safe for use by several threads.
+ */
+public final class Roster {
+    /**
+     * When to doubt the source.
+     *
+     * @param mostLost the part of the listed servers that may vanish in one answer without a second one
+     * @param confirmAfter how much later that second one must come, nanoseconds
+     */
+    public record Policy(double mostLost, long confirmAfter) {
+    }
+
+    /** What to tell the module; {@code kind} is null where there is nothing to tell. */
+    public record Change(ListKind kind, List<Server> entries, String note) {
+        private static final Change NONE = new Change(null, List.of(), null);
+    }
+
+    private final Policy policy;
+    private final Map<String, Server> listed = new LinkedHashMap<>();
+    private long index = Long.MIN_VALUE;
+    private long doubtedAt;
+    private boolean doubted;
+    private boolean everHeard;
+
+    /** An empty list that has heard nothing. */
+    public Roster(Policy policy) {
+        this.policy = policy;
+    }
+
+    /** The servers as they stand. */
+    public List<Server> servers() {
+        return List.copyOf(listed.values());
+    }
+
+    /** Whether a server may be sent something: it is listed as ready. */
+    public boolean ready(String id) {
+        Server server = listed.get(id);
+        return server != null && server.readiness() == Readiness.READY;
+    }
+
+    /** The list as saved before this start; only before the source was heard. */
+    public Change cached(List<Server> entries) {
+        if (everHeard) {
+            return Change.NONE;
+        }
+        entries.forEach(server -> listed.put(server.id(), server));
+        return new Change(ListKind.CACHED, List.copyOf(entries), null);
+    }
+
+    /** The source could not be read; the old list stands. */
+    public Change failed() {
+        return Change.NONE;
+    }
+
+    /**
+     * A whole list from the source.
+     *
+     * @param newIndex the source's version of it; a smaller one than before is stale, unless the source was reset,
+     *     which the caller tells by {@link #sourceReset}
+     */
+    public Change full(long now, long newIndex, List<Server> entries) {
+        if (newIndex < index) {
+            return new Change(null, List.of(), "server list: answer " + newIndex + " is older than " + index);
+        }
+        index = newIndex;
+        everHeard = true;
+        Map<String, Server> told = new LinkedHashMap<>();
+        entries.forEach(server -> told.put(server.id(), server));
+        long lost = listed.keySet().stream().filter(id -> !told.containsKey(id)).count();
+        if (lost > 0 && lost > policy.mostLost() * listed.size()) {
+            if (!doubted) {
+                doubted = true;
+                doubtedAt = now;
+            }
+            if (now - doubtedAt < policy.confirmAfter()) {
+                return partial(told, lost);
+            }
+        }
+        doubted = false;
+        if (told.equals(listed)) {
+            return Change.NONE;
+        }
+        listed.clear();
+        listed.putAll(told);
+        return new Change(ListKind.FULL, List.copyOf(told.values()), null);
+    }
+
+    /** Of an answer in doubt: what it says of servers it names holds; those it leaves out stay. */
+    private Change partial(Map<String, Server> told, long lost) {
+        List<Server> changed = new ArrayList<>();
+        for (Server server : told.values()) {
+            if (!server.equals(listed.put(server.id(), server))) {
+                changed.add(server);
+            }
+        }
+        String note = "server list: " + lost + " of " + listed.size() + " servers vanished at once; waiting for a "
+            + "second answer";
+        return new Change(changed.isEmpty() ? null : ListKind.DELTA, changed, note);
+    }
+
+    /** The source lost its history: its next answer counts whatever its index. */
+    public void sourceReset() {
+        index = Long.MIN_VALUE;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/thistlefall/token/TokenDesk.java
@@ -0,0 +1,355 @@
+package thistlefall.token;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import thistlefall.wheel.DeadlineWheel;
+
+/**
+ * Decides on tokens: whom to ask, when, and what a request may do meanwhile. Free of I/O: a host turns
+ * {@link Actions#ask} into a call by RFC 7662 and hands its end back to {@link #answered}.
+ *
+ * <p>What it holds to:
+ * <ul>
+ *   <li>Each waiter gets exactly one verdict, within {@code waitMost} and {@code margin} before its deadline.</li>
+ *   <li>At most one call is out for a token, however many wait for it. No hedge: a second call would double the
+ *       load of a service that is slow, and the answer is the same for all who wait.</li>
+ *   <li>A token is never admitted past its {@code exp}, nor longer than {@code freshFor + staleFor} after the last
+ *       word that it is active, whatever the state of the service.</li>
+ *   <li>Waiters, calls and remembered tokens are bounded; a token that somebody waits for is not forgotten.</li>
+ *   <li>A failing service is called by one call at a time, after a rest that doubles and is drawn by chance, so
+ *       that nodes that saw it fail together don't come back together.</li>
+ * </ul>
+ *
+ * <p>Times are nanoseconds of the node's shared time, in which {@code exp} is told too. Not safe for use by
+ * several threads.
+ */
+public final class TokenDesk {
+    /** What the desk asks of its host; each takes effect at once. */
+    public interface Actions {
+        /** Asks the service; {@link TokenDesk#answered} follows exactly once, within about the time-out. */
+        void ask(long call, TokenKey key, long timeout);
+
+        /** The verdict on a waiter. May come from within {@link TokenDesk#check}. */
+        void settle(long waiter, Verdict verdict);
+
+        /** A change of regime, for the operators. */
+        void log(String text);
+    }
+
+    /** What is known of a token without asking. */
+    public enum Standing { ACTIVE, DEAD, UNKNOWN }
+
+    private final class Entry {
+        private final TokenKey key;
+        private final Set<Waiter> waiters = new LinkedHashSet<>();
+        private Grant grant;
+        private boolean inactive;
+        private long confirmedAt;
+        private long call;
+        private boolean queued;
+
+        private Entry(TokenKey key) {
+            this.key = key;
+        }
+
+        private boolean expired(long now) {
+            return grant != null && now >= grant.expiresAt();
+        }
+
+        private boolean fresh(long now) {
+            return (grant != null || inactive)
+                && now - confirmedAt < (inactive ? policy.negativeFor() : policy.freshFor());
+        }
+
+        private boolean honoured(long now) {
+            return grant != null && !inactive && !expired(now)
+                && now - confirmedAt < policy.freshFor() + policy.staleFor();
+        }
+
+        private boolean idle() {
+            return waiters.isEmpty() && call == 0 && !queued;
+        }
+    }
+
+    private static final class Waiter {
+        private final long id;
+        private final Entry entry;
+        private DeadlineWheel.Entry<Waiter> due;
+
+        private Waiter(long id, Entry entry) {
+            this.id = id;
+            this.entry = entry;
+        }
+    }
+
+    /** Tokens never told active may take up this fraction of what is remembered. */
+    private static final int STRANGERS = 4;
+
+    private final DeskPolicy policy;
+    private final Actions out;
+    private final SplittableRandom random;
+    /**
+     * In order of last use, the eldest first: tokens once told active, and all others. Kept apart so that a flood
+     * of invented tokens does not push out those in use.
+     */
+    private final LinkedHashMap<TokenKey, Entry> known = new LinkedHashMap<>(64, 0.75f, true);
+    private final LinkedHashMap<TokenKey, Entry> strangers = new LinkedHashMap<>(64, 0.75f, true);
+    private final Map<Long, Waiter> waiters = new HashMap<>();
+    private final Map<Long, Entry> calls = new HashMap<>();
+    private final ArrayDeque<Entry> queue = new ArrayDeque<>();
+    private final DeadlineWheel<Waiter> wheel;
+    private long nextCall = 1;
+    private int failures;
+    private long restUntil;
+    private boolean resting;
+    private boolean badCredentials;
+
+    /** A desk that knows no token; {@code seed} is its only source of chance. */
+    public TokenDesk(DeskPolicy policy, long seed, long now, Actions actions) {
+        this.policy = policy;
+        out = actions;
+        random = new SplittableRandom(seed);
+        wheel = new DeadlineWheel<>(4_000_000L, 4096, now);
+        restUntil = now;
+    }
+
+    /** Requests that wait for a word. */
+    public int waiting() {
+        return waiters.size();
+    }
+
+    /** Calls out. */
+    public int callsOut() {
+        return calls.size();
+    }
+
+    /** Tokens remembered, active or not. */
+    public int remembered() {
+        return known.size() + strangers.size();
+    }
+
+    /** Whether the service fails and is left in peace for now. */
+    public boolean resting() {
+        return resting;
+    }
+
+    /** A request came with a token; its verdict follows, now or later. */
+    public void check(long now, long waiter, TokenKey key, long deadline) {
+        Entry entry = find(key);
+        if (entry != null && entry.expired(now)) {
+            out.settle(waiter, new Verdict.Deny());
+            return;
+        }
+        if (entry != null && entry.fresh(now)) {
+            out.settle(waiter, entry.inactive ? new Verdict.Deny() : new Verdict.Admit(entry.grant, false));
+            refreshAhead(now, entry);
+            return;
+        }
+        if (entry != null && resting && entry.honoured(now)) {
+            // The service is known to fail: a known token doesn't wait for that to be found out again.
+            out.settle(waiter, new Verdict.Admit(entry.grant, true));
+            want(now, entry);
+            return;
+        }
+        long until = Math.min(deadline - policy.margin(), now + policy.waitMost());
+        if (until <= now || waiters.size() >= policy.maxWaiting()) {
+            out.settle(waiter, withoutWord(now, entry,
+                until <= now ? "no time left to check the token" : "too many requests wait for token checks"));
+            return;
+        }
+        if (entry == null) {
+            entry = new Entry(key);
+            keep(strangers, entry, Math.max(1, policy.maxEntries() / STRANGERS));
+        }
+        var held = new Waiter(waiter, entry);
+        held.due = wheel.add(held, until);
+        waiters.put(waiter, held);
+        entry.waiters.add(held);
+        want(now, entry);
+    }
+
+    /** A waiter's client has left; no verdict follows. */
+    public void leave(long waiter) {
+        Waiter held = waiters.get(waiter);
+        if (held != null) {
+            release(held);
+        }
+    }
+
+    /** What is known of a token now, without a call; {@code ACTIVE} also on an old answer still honoured. */
+    public Standing standing(long now, TokenKey key) {
+        Entry entry = find(key);
+        if (entry == null || entry.grant == null && !entry.inactive) {
+            return Standing.UNKNOWN;
+        }
+        if (entry.inactive) {
+            return now - entry.confirmedAt < policy.negativeFor() ? Standing.DEAD : Standing.UNKNOWN;
+        }
+        if (entry.expired(now)) {
+            return Standing.DEAD;
+        }
+        return entry.honoured(now) ? Standing.ACTIVE : Standing.UNKNOWN;
+    }
+
+    /** A call has ended. An answer to a call that is not out is passed over. */
+    public void answered(long now, long call, Report report) {
+        Entry entry = calls.remove(call);
+        if (entry == null) {
+            return;
+        }
+        entry.call = 0;
+        if (report instanceof Report.Failed failed) {
+            failed(now, entry, failed.fault());
+        } else {
+            worked();
+            entry.confirmedAt = now;
+            entry.inactive = report instanceof Report.Inactive;
+            entry.grant = report instanceof Report.Active active ? active.grant() : null;
+            classify(entry);
+            boolean dead = entry.inactive || entry.expired(now);
+            Verdict verdict = dead ? new Verdict.Deny() : new Verdict.Admit(entry.grant, false);
+            settleAll(entry, verdict);
+        }
+        callNext(now);
+    }
+
+    /** Lets time pass; to be called every few milliseconds. */
+    public void timer(long now) {
+        wheel.expire(now, held -> {
+            Entry entry = held.entry;
+            release(held);
+            out.settle(held.id, withoutWord(now, entry, "the token check took too long"));
+        });
+        callNext(now);
+    }
+
+    /** A known token's refresh failed, or there is no time for one: honoured for a while, else nobody knows. */
+    private Verdict withoutWord(long now, Entry entry, String reason) {
+        return entry != null && entry.honoured(now) ? new Verdict.Admit(entry.grant, true)
+            : new Verdict.Unknown(reason);
+    }
+
+    /** A token in use is asked for again before its answer gets old, so that nobody has to wait then. */
+    private void refreshAhead(long now, Entry entry) {
+        if (!entry.inactive && now - entry.confirmedAt > policy.freshFor() / 4 * 3) {
+            want(now, entry);
+        }
+    }
+
+    private void want(long now, Entry entry) {
+        if (entry.call == 0 && !entry.queued && queue.size() < policy.maxWaiting()) {
+            entry.queued = true;
+            queue.add(entry);
+        }
+        callNext(now);
+    }
+
+    private void callNext(long now) {
+        while (!queue.isEmpty() && calls.size() < (failures > 0 ? 1 : policy.maxCalls()) && now >= restUntil) {
+            Entry entry = queue.poll();
+            entry.queued = false;
+            if (entry.waiters.isEmpty() && (entry.grant == null || entry.expired(now))) {
+                // All who wanted to know have left, or the token died of age.
+                continue;
+            }
+            long call = nextCall++;
+            entry.call = call;
+            calls.put(call, entry);
+            out.ask(call, entry.key, policy.callTimeout());
+        }
+    }
+
+    private void failed(long now, Entry entry, Report.Fault fault) {
+        failures++;
+        boolean ours = fault == Report.Fault.OUR_CREDENTIALS;
+        if (ours && !badCredentials) {
+            out.log("introspection: our own credentials are not accepted");
+        }
+        badCredentials |= ours;
+        if (failures >= policy.failuresToRest() || ours) {
+            int doublings = Math.min(30, Math.max(0, failures - policy.failuresToRest()));
+            double rest = Math.min(policy.restMost(), policy.restFirst() * Math.pow(2, doublings));
+            restUntil = now + (long) (rest * (0.5 + random.nextDouble() / 2));
+            if (!resting) {
+                resting = true;
+                out.log("introspection fails (" + fault + "): known tokens on old answers, others wait or are refused");
+            }
+            // Known tokens need not wait for the end of the rest.
+            List.copyOf(calls.values()).forEach(other -> settleHonoured(now, other));
+            List.copyOf(queue).forEach(other -> settleHonoured(now, other));
+        }
+        settleHonoured(now, entry);
+        if (!entry.waiters.isEmpty() && !entry.queued) {
+            // Those who still have time wait for another call, ahead of none.
+            entry.queued = true;
+            queue.add(entry);
+        }
+    }
+
+    private void settleHonoured(long now, Entry entry) {
+        if (entry.honoured(now)) {
+            settleAll(entry, new Verdict.Admit(entry.grant, true));
+        }
+    }
+
+    private void worked() {
+        if (resting) {
+            out.log("introspection answers again");
+        }
+        failures = 0;
+        resting = false;
+        badCredentials = false;
+        restUntil = Long.MIN_VALUE;
+    }
+
+    private void settleAll(Entry entry, Verdict verdict) {
+        for (Waiter held : new ArrayList<>(entry.waiters)) {
+            if (entry.waiters.contains(held)) {
+                release(held);
+                out.settle(held.id, verdict);
+            }
+        }
+    }
+
+    private void release(Waiter held) {
+        waiters.remove(held.id);
+        held.entry.waiters.remove(held);
+        wheel.cancel(held.due);
+    }
+
+    private Entry find(TokenKey key) {
+        Entry entry = known.get(key);
+        return entry != null ? entry : strangers.get(key);
+    }
+
+    private void classify(Entry entry) {
+        if (entry.inactive) {
+            known.remove(entry.key);
+            keep(strangers, entry, Math.max(1, policy.maxEntries() / STRANGERS));
+        } else {
+            strangers.remove(entry.key);
+            keep(known, entry, policy.maxEntries());
+        }
+    }
+
+    /** Few looks: among the eldest there are hardly ever more in use than may wait at all. */
+    private static void keep(LinkedHashMap<TokenKey, Entry> map, Entry entry, int most) {
+        if (!map.containsKey(entry.key) && map.size() >= most) {
+            Iterator<Entry> eldest = map.values().iterator();
+            for (int looks = 0; map.size() >= most && looks < 8 && eldest.hasNext(); looks++) {
+                if (eldest.next().idle()) {
+                    eldest.remove();
+                }
+            }
+        }
+        map.put(entry.key, entry);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/thistlefall/wheel/DeadlineWheel.java
@@ -0,0 +1,138 @@
+package thistlefall.wheel;
+
+import java.util.function.Consumer;
+
+/**
+ * A hashed timing wheel (Varghese and Lauck, "Hashed and hierarchical timing wheels", 1987) for deadlines that
+ * are nearly always cancelled: adding and cancelling cost the same however many are waiting, which a heap
+ * does not offer.
+ *
+ * <p>Times are nanoseconds of any one clock. Nothing is ever expired early; it is expired by the first call of
+ * {@link #expire} at or after its moment. Within one call, what falls into an earlier tick comes first; the
+ * order within a tick is that of adding. Not safe for use by several threads.
+ *
+ * @param <T> what is waiting
+ */
+public final class DeadlineWheel<T> {
+    /** A place in the wheel; kept by whoever may want to cancel. */
+    public static final class Entry<T> {
+        private final T item;
+        private final long at;
+        private Entry<T> before;
+        private Entry<T> after;
+
+        private Entry(T item, long at) {
+            this.item = item;
+            this.at = at;
+        }
+
+        /** What waits here. */
+        public T item() {
+            return item;
+        }
+
+        /** The moment at which it is due. */
+        public long at() {
+            return at;
+        }
+
+        private boolean linked() {
+            return before != null;
+        }
+    }
+
+    private final Entry<T>[] slots;
+    private final long tick;
+    private long cursor;
+    private int size;
+
+    /**
+     * Makes an empty wheel.
+     *
+     * @param tick nanoseconds a slot
+     * @param slots how many, rounded up to a power of two; what lies further off than a turn costs one look a turn
+     * @param now the present moment
+     */
+    @SuppressWarnings("unchecked")
+    public DeadlineWheel(long tick, int slots, long now) {
+        if (tick <= 0 || slots <= 0 || slots > 1 << 24) {
+            throw new IllegalArgumentException("a wheel of " + slots + " slots of " + tick + " ns");
+        }
+        int rounded = Integer.highestOneBit(Math.max(1, slots - 1)) << 1;
+        this.slots = new Entry[rounded];
+        for (int i = 0; i < rounded; i++) {
+            Entry<T> head = new Entry<>(null, 0);
+            head.before = head;
+            head.after = head;
+            this.slots[i] = head;
+        }
+        this.tick = tick;
+        cursor = Math.floorDiv(now, tick);
+    }
+
+    /** How many wait. */
+    public int size() {
+        return size;
+    }
+
+    /** Lets an item wait; one already due comes with the next {@link #expire}. */
+    public Entry<T> add(T item, long at) {
+        var entry = new Entry<>(item, at);
+        Entry<T> head = slot(Math.max(cursor, Math.floorDiv(at, tick)));
+        entry.before = head.before;
+        entry.after = head;
+        head.before.after = entry;
+        head.before = entry;
+        size++;
+        return entry;
+    }
+
+    /** Takes an entry out; false if it has come due or was cancelled before. */
+    public boolean cancel(Entry<T> entry) {
+        if (entry == null || !entry.linked()) {
+            return false;
+        }
+        entry.before.after = entry.after;
+        entry.after.before = entry.before;
+        entry.before = null;
+        entry.after = null;
+        size--;
+        return true;
+    }
+
+    /** Hands over all that is due, and takes it out first: the consumer may add and cancel as it likes. */
+    public void expire(long now, Consumer<? super T> due) {
+        long last = Math.floorDiv(now, tick);
+        if (last - cursor >= slots.length) {
+            // After a long stall every slot is looked at once, from the oldest on.
+            cursor = last - slots.length + 1;
+        }
+        for (long at = cursor; at <= last; at++) {
+            cursor = at;
+            expireSlot(slot(at), now, due);
+        }
+    }
+
+    private void expireSlot(Entry<T> head, long now, Consumer<? super T> due) {
+        // What the consumer adds to this very slot goes behind the mark and waits for the next call.
+        Entry<T> mark = head.before;
+        if (mark == head) {
+            return;
+        }
+        var ready = new java.util.ArrayList<Entry<T>>();
+        for (Entry<T> e = head.after; e != head; e = e.after) {
+            if (e.at <= now) {
+                ready.add(e);
+            }
+        }
+        for (Entry<T> e : ready) {
+            if (cancel(e)) {
+                due.accept(e.item);
+            }
+        }
+    }
+
+    private Entry<T> slot(long tickNumber) {
+        return slots[(int) (tickNumber & slots.length - 1)];
+    }
+}
--- /dev/null
+++ b/core/src/test/java/thistlefall/ArrowsTest.java
@@ -0,0 +1,36 @@
+package thistlefall;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+
+/** Holds {@code core} free of I/O, threads and clocks, and its packages free of cycles. */
+@AnalyzeClasses(packages = "thistlefall", importOptions = ImportOption.DoNotIncludeTests.class)
+class ArrowsTest {
+    @ArchTest
+    static final ArchRule noInputOrOutput = noClasses().should().dependOnClassesThat()
+        .resideInAnyPackage("java.net..", "java.nio.channels..", "java.nio.file..", "io.netty..",
+            "java.util.concurrent..", "org.slf4j..", "com.fasterxml..");
+
+    @ArchTest
+    static final ArchRule noThreads = noClasses().should().dependOnClassesThat()
+        .belongToAnyOf(Thread.class, Runtime.class, java.time.Clock.class, java.io.File.class);
+
+    @ArchTest
+    static final ArchRule noClock = noClasses().should().callMethod(System.class, "nanoTime")
+        .orShould().callMethod(System.class, "currentTimeMillis")
+        .orShould().callMethod(java.time.Instant.class, "now");
+
+    @ArchTest
+    static final ArchRule noOtherModule = noClasses().should().dependOnClassesThat()
+        .resideInAnyPackage("thistlefall.edge..", "thistlefall.standin..", "thistlefall.cli..",
+            "thistlefall.drill..", "thistlefall.lab..");
+
+    @ArchTest
+    static final ArchRule noCycles = slices().matching("thistlefall.(*)..").should().beFreeOfCycles()
+        .allowEmptyShould(true);
+}
--- a/src/test/java/thistlefall/DrillTest.java
+++ b/drill/src/test/java/thistlefall/drill/DrillTest.java
@@ -1,4 +1,4 @@
-package thistlefall;
+package thistlefall.drill;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- /dev/null
+++ b/edge/src/main/java/thistlefall/edge/package-info.java
@@ -0,0 +1,2 @@
+/** The library: sockets turned into events of the module, its actions into bytes. */
+package thistlefall.edge;
