--- /dev/null
+++ b/cli/src/main/java/thistlefall/cli/RehearseCommand.java
@@ -0,0 +1,150 @@
+package thistlefall.cli;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.EnumSet;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import java.util.function.DoubleConsumer;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import thistlefall.cli.settings.DayFiles;
+import thistlefall.edge.host.Fault;
+import thistlefall.standin.check.Verdict;
+import thistlefall.standin.day.Day;
+import thistlefall.standin.day.LibraryNodes;
+import thistlefall.standin.day.NodeRunner;
+import thistlefall.standin.day.Rehearsal;
+
+/** Plays a day of trouble over real sockets and checks the rules. */
+@Command(name = "rehearse", mixinStandardHelpOptions = true, description = {"Plays a day of trouble: edge nodes, "
+    + "stand-ins and clients on loopback sockets; then checks the five rules on what went over the sockets.",
+    "Exit status 0: all rules kept; 1: a rule broken; 2: bad input; 3: could not run."})
+final class RehearseCommand implements Callable<Integer> {
+    /** How the nodes are run. */
+    enum Via { daemon, library }
+
+    @Parameters(index = "0", arity = "0..1", paramLabel = "DAY",
+        description = "a bundled day or a file (default: bad-day)")
+    private String day;
+
+    @Option(names = "--list", description = "lists the bundled days")
+    private boolean list;
+
+    @Option(names = "--via", defaultValue = "library",
+        description = "nodes in this process, or each in its own: ${COMPLETION-CANDIDATES} (default: ${DEFAULT-VALUE})")
+    private Via via;
+
+    @Option(names = "--seed", paramLabel = "N", description = "in place of the day's own")
+    private Long seed;
+
+    @Option(names = "--json", description = "prints one JSON object on standard output")
+    private boolean json;
+
+    @Option(names = "--trace", paramLabel = "DIR", description = "writes what was seen at the sockets to DIR/trace.jsonl")
+    private Path trace;
+
+    @Option(names = "--break", paramLabel = "FAULT", converter = FaultConverter.class,
+        description = "plants a fault in the nodes, to see it caught: lose-answers, false-proof, deaf-to-drains, "
+            + "cold-as-warm, no-ceiling")
+    private Fault fault;
+
+    @Override
+    public Integer call() throws Exception {
+        if (list) {
+            for (String name : DayFiles.BUNDLED) {
+                Day bundled = DayFiles.read(name);
+                System.out.printf("%-12s %4d s  %s%n", name, bundled.length().toSeconds(), bundled.title());
+            }
+            return 0;
+        }
+        Day read = DayFiles.read(day == null ? DayFiles.BUNDLED.get(0) : day);
+        Set<Fault> faults = fault == null ? Set.of() : EnumSet.of(fault);
+        Path folder = Files.createTempDirectory("thistlefall-rehearsal");
+        boolean keep = false;
+        try {
+            NodeRunner runner = via == Via.daemon ? new DaemonNodes(folder) : new LibraryNodes();
+            Rehearsal.Result result = Rehearsal.play(read, seed == null ? read.seed() : seed, runner, faults,
+                progress(System.err));
+            if (trace != null) {
+                System.err.println("trace: " + result.trace().write(trace));
+            }
+            if (json) {
+                System.out.println(json(result));
+            } else {
+                print(result, System.out);
+            }
+            keep = !result.kept() && via == Via.daemon;
+            if (keep) {
+                System.err.println("logs of the nodes: " + folder);
+            }
+            return result.kept() ? 0 : Main.BROKEN;
+        } finally {
+            if (!keep) {
+                delete(folder);
+            }
+        }
+    }
+
+    private static void delete(Path folder) throws IOException {
+        try (var files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+
+    /** A bar, where somebody watches. */
+    private static DoubleConsumer progress(PrintStream out) {
+        if (System.console() == null) {
+            return part -> { };
+        }
+        return part -> {
+            int done = (int) (part * 40);
+            out.print("\r[" + "#".repeat(done) + " ".repeat(40 - done) + "] " + (int) (part * 100) + " %"
+                + (part >= 1 ? "\n" : ""));
+            out.flush();
+        };
+    }
+
+    private static ObjectNode json(Rehearsal.Result result) {
+        ObjectMapper mapper = new ObjectMapper();
+        ObjectNode root = mapper.createObjectNode();
+        root.put("day", result.day().name()).put("seed", result.seed()).put("via", result.via())
+            .put("requests", result.requests());
+        root.set("answers", mapper.valueToTree(result.answers()));
+        root.put("unanswered", result.unanswered()).put("kept", result.kept()).put("trace_cut", result.traceCut());
+        var rules = root.putArray("rules");
+        for (Verdict verdict : result.verdicts()) {
+            rules.addObject().put("rule", verdict.rule()).put("checked", verdict.checked())
+                .put("broken", verdict.broken()).put("first", verdict.first());
+        }
+        var troubles = root.putArray("troubles");
+        for (Day.Trouble trouble : result.day().troubles()) {
+            long from = trouble.at().toMillis();
+            troubles.addObject().put("name", trouble.name()).put("from_ms", from)
+                .put("to_ms", from + (trouble.len() == null ? 0 : trouble.len().toMillis()));
+        }
+        result.figures().forEach((part, figures) -> root.set(part, mapper.valueToTree(figures)));
+        return root;
+    }
+
+    private static void print(Rehearsal.Result result, PrintStream out) {
+        out.printf("day %s, seed %d, via %s: %d requests%n", result.day().name(), result.seed(), result.via(),
+            result.requests());
+        result.answers().forEach((kind, count) -> out.printf("  %-10s %7d%n", kind, count));
+        out.println("rule    checked   broken");
+        for (Verdict verdict : result.verdicts()) {
+            out.printf("%4d  %9d  %7d  %s%n", verdict.rule(), verdict.checked(), verdict.broken(),
+                verdict.first() == null ? "" : verdict.first());
+        }
+        result.figures().forEach((part, figures) -> out.println(part + ": " + figures));
+        out.println(result.kept() ? "all rules kept" : "RULES BROKEN");
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/thistlefall/cli/settings/JsonnetFile.java
@@ -0,0 +1,78 @@
+package thistlefall.cli.settings;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.lang.reflect.Type;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import sjsonnet.SjsonnetMain;
+
+/** Reads a Jsonnet file, and binds what it evaluates to. */
+public final class JsonnetFile {
+    /**
+     * What was read.
+     *
+     * @param value the bound value; not to be used if there are faults
+     * @param faults to which further checks may add
+     */
+    public record Read<T>(T value, Faults faults) {
+        /** The value, if there is no fault. */
+        public T orThrow() throws BadFile {
+            if (!faults.none()) {
+                throw new BadFile(faults.all());
+            }
+            return value;
+        }
+    }
+
+    private JsonnetFile() {
+    }
+
+    /** Reads a file; one that can't be read or evaluated is a {@link BadFile} at once. */
+    public static <T> Read<T> read(Path file, Class<T> type) throws BadFile {
+        String source;
+        try {
+            source = Files.readString(file);
+        } catch (IOException e) {
+            throw new BadFile(List.of(file + ": " + (e instanceof java.nio.file.NoSuchFileException ? "no such file"
+                : "can't be read: " + e.getMessage())));
+        }
+        JsonNode tree = evaluate(file);
+        Faults faults = new Faults(file.toString(), new Places(source));
+        Object value = new Binder(faults).bind(tree, (Type) type, "");
+        if (value == null && faults.none()) {
+            faults.add("", "must be an object");
+        }
+        return new Read<>(type.cast(value), faults);
+    }
+
+    private static JsonNode evaluate(Path file) throws BadFile {
+        var out = new ByteArrayOutputStream();
+        var err = new ByteArrayOutputStream();
+        int exit;
+        try {
+            exit = SjsonnetMain.main0(new String[] {file.toString()}, new sjsonnet.DefaultParseCache(),
+                new ByteArrayInputStream(new byte[0]), new PrintStream(out, true, StandardCharsets.UTF_8),
+                new PrintStream(err, true, StandardCharsets.UTF_8), os.package$.MODULE$.pwd(),
+                SjsonnetMain.main0$default$7(), SjsonnetMain.main0$default$8(), SjsonnetMain.main0$default$9());
+        } catch (RuntimeException | StackOverflowError e) {
+            throw new BadFile(List.of(file + ": " + e.getMessage()));
+        }
+        if (exit != 0) {
+            // The evaluator's own words name the line and the column; what follows is its stack.
+            String text = err.toString(StandardCharsets.UTF_8).strip().replaceAll("\\s*\\R\\s*at ", " at ");
+            throw new BadFile(List.of(file + ": " + text.lines().limit(2).reduce((a, b) -> a + " " + b).orElse("")));
+        }
+        try {
+            return new ObjectMapper().readTree(out.toByteArray());
+        } catch (IOException e) {
+            throw new BadFile(List.of(file + ": " + e.getMessage()));
+        }
+    }
+}
--- a/core/src/main/java/thistlefall/token/TokenDesk.java
+++ b/core/src/main/java/thistlefall/token/TokenDesk.java
@@ -35,7 +35,7 @@
     /** What the desk asks of its host; each takes effect at once. */
     public interface Actions {
         /** Asks the service; {@link TokenDesk#answered} follows exactly once, within about the time-out. */
-        void ask(long call, TokenKey key, long timeout);
+        void ask(long call, String token, long timeout);
 
         /** The verdict on a waiter. May come from within {@link TokenDesk#check}. */
         void settle(long waiter, Verdict verdict);
@@ -55,6 +55,8 @@
         private long confirmedAt;
         private long call;
         private boolean queued;
+        /** The token itself; held only from the wish to ask until the call's end. */
+        private String token;
 
         private Entry(TokenKey key) {
             this.key = key;
@@ -142,7 +144,7 @@
     }
 
     /** A request came with a token; its verdict follows, now or later. */
-    public void check(long now, long waiter, TokenKey key, long deadline) {
+    public void check(long now, long waiter, TokenKey key, String token, long deadline) {
         Entry entry = find(key);
         if (entry != null && entry.expired(now)) {
             out.settle(waiter, new Verdict.Deny());
@@ -150,13 +152,13 @@
         }
         if (entry != null && entry.fresh(now)) {
             out.settle(waiter, entry.inactive ? new Verdict.Deny() : new Verdict.Admit(entry.grant, false));
-            refreshAhead(now, entry);
+            refreshAhead(now, entry, token);
             return;
         }
         if (entry != null && resting && entry.honoured(now)) {
             // The service is known to fail: a known token doesn't wait for that to be found out again.
             out.settle(waiter, new Verdict.Admit(entry.grant, true));
-            want(now, entry);
+            want(now, entry, token);
             return;
         }
         long until = Math.min(deadline - policy.margin(), now + policy.waitMost());
@@ -173,7 +175,7 @@
         held.due = wheel.add(held, until);
         waiters.put(waiter, held);
         entry.waiters.add(held);
-        want(now, entry);
+        want(now, entry, token);
     }
 
     /** A waiter's client has left; no verdict follows. */
@@ -210,6 +212,7 @@
             failed(now, entry, failed.fault());
         } else {
             worked();
+            entry.token = null;
             entry.confirmedAt = now;
             entry.inactive = report instanceof Report.Inactive;
             entry.grant = report instanceof Report.Active active ? active.grant() : null;
@@ -238,14 +241,15 @@
     }
 
     /** A token in use is asked for again before its answer gets old, so that nobody has to wait then. */
-    private void refreshAhead(long now, Entry entry) {
+    private void refreshAhead(long now, Entry entry, String token) {
         if (!entry.inactive && now - entry.confirmedAt > policy.freshFor() / 4 * 3) {
-            want(now, entry);
+            want(now, entry, token);
         }
     }
 
-    private void want(long now, Entry entry) {
+    private void want(long now, Entry entry, String token) {
         if (entry.call == 0 && !entry.queued && queue.size() < policy.maxWaiting()) {
+            entry.token = token;
             entry.queued = true;
             queue.add(entry);
         }
@@ -258,12 +262,13 @@
             entry.queued = false;
             if (entry.waiters.isEmpty() && (entry.grant == null || entry.expired(now))) {
                 // All who wanted to know have left, or the token died of age.
+                entry.token = null;
                 continue;
             }
             long call = nextCall++;
             entry.call = call;
             calls.put(call, entry);
-            out.ask(call, entry.key, policy.callTimeout());
+            out.ask(call, entry.token, policy.callTimeout());
         }
     }
 
@@ -291,6 +296,8 @@
             // Those who still have time wait for another call, ahead of none.
             entry.queued = true;
             queue.add(entry);
+        } else if (!entry.queued) {
+            entry.token = null;
         }
     }
 
--- /dev/null
+++ b/edge/src/main/java/thistlefall/edge/host/ClientConnection.java
@@ -0,0 +1,392 @@
+package thistlefall.edge.host;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Set;
+import thistlefall.edge.http.BodyEnd;
+import thistlefall.edge.http.Fields;
+import thistlefall.edge.http.Framing;
+import thistlefall.edge.http.Head;
+import thistlefall.edge.http.HttpWriter;
+import thistlefall.edge.http.Malformed;
+import thistlefall.edge.http.RequestDecoder;
+import thistlefall.edge.settings.NodeSettings.LimitSettings;
+import thistlefall.wheel.DeadlineWheel;
+
+/**
+ * One client's connection: takes requests in, hands them on one after another and writes their answers in that
+ * order. Reading stops while too many are pipelined, or a body finds no taker; writing tells the taker of an answer
+ * when the client is slow. Nothing it does waits for anybody else's connection.
+ */
+final class ClientConnection extends ChannelInboundHandlerAdapter {
+    private static final ByteBuf CONTINUE = Unpooled.unreleasableBuffer(Unpooled.directBuffer(25)
+        .writeBytes("HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII))).asReadOnly();
+    private static final long LINGER = 1_000_000_000L;
+
+    private final Front front;
+    private final Timers timers;
+    private final LimitSettings limits;
+    private final RequestDecoder decoder;
+    private final ArrayDeque<Exchange> exchanges = new ArrayDeque<>();
+    private Channel channel;
+    private Exchange incoming;
+    private Malformed fault;
+    private boolean closing;
+    private boolean closeAfter;
+    private boolean chunked;
+    private boolean handing;
+    private boolean headArmed;
+    private boolean lingering;
+    private DeadlineWheel.Entry<Runnable> headTimer;
+    private DeadlineWheel.Entry<Runnable> idleTimer;
+    private DeadlineWheel.Entry<Runnable> stallTimer;
+
+    ClientConnection(Front front, Timers timers, LimitSettings limits, RequestDecoder decoder) {
+        this.front = front;
+        this.timers = timers;
+        this.limits = limits;
+        this.decoder = decoder;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        channel = context.channel();
+        idle();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        if (closing || fault != null) {
+            ReferenceCountUtil.release(message);
+        } else if (message instanceof Head.Request head) {
+            timers.cancel(headTimer);
+            timers.cancel(idleTimer);
+            incoming = new Exchange(this, head, timers.earliestArrival(), limits.replayBody());
+            exchanges.add(incoming);
+            next();
+        } else if (message instanceof ByteBuf piece) {
+            incoming.body.add(piece);
+        } else if (message instanceof BodyEnd end) {
+            if (incoming != null) {
+                Exchange whole = incoming;
+                incoming = null;
+                // What comes after the last request is nobody's.
+                closing = !whole.head.keepAlive();
+                whole.body.end(end.trailers());
+            }
+        } else if (message instanceof Malformed malformed) {
+            fault = malformed;
+            malformed();
+        }
+        updateRead();
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        boolean partialHead = !decoder.idle() && incoming == null && fault == null && !closing;
+        if (partialHead && (headTimer == null || !headArmed)) {
+            headArmed = true;
+            timers.cancel(idleTimer);
+            headTimer = timers.after(limits.headTimeout().toNanos(), () -> {
+                headArmed = false;
+                if (!decoder.idle() && incoming == null && !closing) {
+                    fault = new Malformed(408, "the head of the request took too long");
+                    malformed();
+                }
+            });
+        } else if (!partialHead && headArmed) {
+            headArmed = false;
+            timers.cancel(headTimer);
+        }
+    }
+
+    /** Hands the first request over, if it has not been. */
+    private void next() {
+        if (handing) {
+            return;
+        }
+        handing = true;
+        try {
+            Exchange first = exchanges.peek();
+            while (first != null && first.route == null && !first.answered) {
+                front.begin(first);
+                first = exchanges.peek();
+            }
+        } finally {
+            handing = false;
+        }
+        if (exchanges.isEmpty()) {
+            malformed();
+        }
+    }
+
+    /** Answers a fault in what came, once all that came before it is answered. */
+    private void malformed() {
+        if (fault == null) {
+            return;
+        }
+        if (incoming != null) {
+            // The body broke: its request can't be served, and what it is has no end.
+            Exchange broken = incoming;
+            incoming = null;
+            if (broken == exchanges.peek() && !broken.answered) {
+                front.bodyBroken(broken, Problem.client(fault.status(), fault.getMessage()));
+            } else {
+                exchanges.remove(broken);
+            }
+            return;
+        }
+        if (exchanges.isEmpty() && channel.isActive() && !lingering) {
+            write(Problem.client(fault.status(), fault.getMessage()), true);
+            linger();
+        }
+    }
+
+    /** Reads on from the client, or stops. */
+    void updateRead() {
+        boolean on = exchanges.size() <= limits.maxPipelined() && (incoming == null || incoming.body.hungry())
+            || lingering;
+        if (channel.config().isAutoRead() != on) {
+            channel.config().setAutoRead(on);
+        }
+    }
+
+    /** Tells the client to send the body it is waiting with. */
+    void goOn(Exchange exchange) {
+        if (exchange.head.expectsContinue() && !exchange.body.whole() && channel.isActive()) {
+            channel.writeAndFlush(CONTINUE.duplicate());
+        }
+    }
+
+    /** Answers with a problem of the node's own. */
+    void answer(Exchange exchange, Problem problem) {
+        if (exchange.answered) {
+            throw new IllegalStateException("a second answer");
+        }
+        exchange.answered = true;
+        boolean cut = !exchange.body.whole();
+        closeAfter |= cut || !exchange.head.keepAlive() || fault != null;
+        write(problem, closeAfter);
+        finished(exchange);
+    }
+
+    private void write(Problem problem, boolean close) {
+        if (!channel.isActive()) {
+            return;
+        }
+        byte[] body = problem.body();
+        ByteBuf out = HttpWriter.response(channel.alloc(), problem.status());
+        HttpWriter.field(out, "Content-Type", "application/problem+json");
+        if (problem.retryAfter() > 0) {
+            HttpWriter.field(out, "Retry-After", Long.toString((problem.retryAfter() + 999_999_999) / 1_000_000_000));
+        }
+        if (problem.authenticate() != null) {
+            HttpWriter.field(out, "WWW-Authenticate", problem.authenticate());
+        }
+        HttpWriter.length(out, body.length);
+        if (close) {
+            HttpWriter.close(out);
+        }
+        boolean headOnly = !exchanges.isEmpty() && exchanges.peek().head.method().equals("HEAD");
+        HttpWriter.end(out);
+        if (!headOnly) {
+            out.writeBytes(body);
+        }
+        channel.writeAndFlush(out);
+        watchStall();
+    }
+
+    /** Begins to pass a server's answer on. */
+    void begin(Exchange exchange, Head.Response head) {
+        exchange.answered = true;
+        closeAfter |= !exchange.head.keepAlive() || !exchange.body.whole() || fault != null;
+        ByteBuf out = HttpWriter.response(channel.alloc(), head.status());
+        Set<String> nominated = nominated(head.fields());
+        head.fields().writeTo(out, name -> HttpWriter.endToEnd(name) && !name.equals("endpoint-load-metrics")
+            && !name.equals("request-unseen") && (nominated == null || !nominated.contains(name)));
+        Framing framing = head.framing();
+        boolean headMethod = exchange.head.method().equals("HEAD");
+        boolean bare = headMethod || head.status() == 204 || head.status() == 304;
+        chunked = false;
+        if (!bare) {
+            if (framing.kind() == Framing.Kind.CHUNKED || framing.kind() == Framing.Kind.CLOSE) {
+                chunked = exchange.head.minor() >= 1;
+                closeAfter |= !chunked;
+                framing = chunked ? Framing.CHUNKED : Framing.NONE;
+                if (chunked) {
+                    HttpWriter.framing(out, framing, false);
+                }
+            } else {
+                HttpWriter.framing(out, framing, true);
+            }
+        }
+        if (closeAfter) {
+            HttpWriter.close(out);
+        }
+        channel.write(HttpWriter.end(out));
+    }
+
+    /** Names of fields that a message marks as belonging to its connection; null if there are none. */
+    static Set<String> nominated(Fields fields) {
+        if (!fields.has("connection")) {
+            return null;
+        }
+        Set<String> names = new HashSet<>();
+        for (String value : fields.all("connection")) {
+            for (String name : value.split(",")) {
+                names.add(name.strip().toLowerCase(Locale.ROOT));
+            }
+        }
+        return names;
+    }
+
+    /** Passes a piece of the answer on; false if the client should be given time. */
+    boolean piece(ByteBuf piece) {
+        if (!channel.isActive()) {
+            piece.release();
+            return true;
+        }
+        if (chunked && piece.isReadable()) {
+            channel.write(HttpWriter.chunkSize(channel.alloc(), piece.readableBytes()));
+            channel.write(piece);
+            channel.writeAndFlush(HttpWriter.chunkEnd(channel.alloc()));
+        } else {
+            channel.writeAndFlush(piece);
+        }
+        watchStall();
+        return channel.isWritable();
+    }
+
+    /** The answer is whole. */
+    void end(Exchange exchange, Fields trailers) {
+        if (chunked) {
+            channel.write(HttpWriter.lastChunk(channel.alloc(), trailers));
+        }
+        channel.flush();
+        finished(exchange);
+    }
+
+    /** The answer broke off: the client must not take it for whole. */
+    void abort(Exchange exchange) {
+        if (channel instanceof SocketChannel socket && socket.isActive()) {
+            socket.config().setSoLinger(0);
+        }
+        channel.close();
+        exchange.body.release();
+    }
+
+    private void finished(Exchange exchange) {
+        exchange.body.release();
+        if (exchanges.peek() != exchange) {
+            // The connection has died meanwhile.
+            return;
+        }
+        exchanges.poll();
+        if (incoming == exchange) {
+            incoming = null;
+        }
+        if (closeAfter) {
+            linger();
+            return;
+        }
+        if (exchanges.isEmpty()) {
+            idle();
+        }
+        channel.eventLoop().execute(() -> {
+            next();
+            updateRead();
+        });
+    }
+
+    /** Ends the connection so that the client can still read its last answer. */
+    private void linger() {
+        if (lingering) {
+            return;
+        }
+        lingering = true;
+        closing = true;
+        exchanges.clear();
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((ChannelFutureListener) written -> {
+            if (channel instanceof SocketChannel socket && socket.isActive()) {
+                socket.shutdownOutput();
+            }
+        });
+        updateRead();
+        timers.after(LINGER, () -> channel.close());
+    }
+
+    private void idle() {
+        timers.cancel(idleTimer);
+        idleTimer = timers.after(limits.idleTimeout().toNanos(), () -> {
+            if (exchanges.isEmpty()) {
+                channel.close();
+            }
+        });
+    }
+
+    /** Cuts a client off that takes nothing. */
+    private void watchStall() {
+        if (channel.isWritable() || stallTimer != null) {
+            return;
+        }
+        stallTimer = timers.after(limits.writeStall().toNanos(), () -> {
+            stallTimer = null;
+            if (channel.isActive() && !channel.isWritable()) {
+                front.log("client cut off: took nothing for " + limits.writeStall().toMillis() + " ms");
+                channel.close();
+            }
+        });
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (channel.isWritable()) {
+            timers.cancel(stallTimer);
+            stallTimer = null;
+            Exchange first = exchanges.peek();
+            if (first != null && first.attempt != null) {
+                first.attempt.clientReady();
+            }
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        closing = true;
+        timers.cancel(headTimer);
+        timers.cancel(idleTimer);
+        timers.cancel(stallTimer);
+        var left = new ArrayDeque<>(exchanges);
+        exchanges.clear();
+        incoming = null;
+        left.forEach(front::gone);
+        front.closed(this);
+    }
+
+    /** No further request is taken; the connection ends after the answers owed. */
+    void drain() {
+        closeAfter = true;
+        if (exchanges.isEmpty() && !lingering) {
+            channel.close();
+        }
+    }
+
+    void close() {
+        channel.close();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        channel.close();
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/thistlefall/edge/host/EdgeNode.java
@@ -0,0 +1,195 @@
+package thistlefall.edge.host;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import thistlefall.edge.http.RequestDecoder;
+import thistlefall.edge.settings.Defaults;
+import thistlefall.edge.settings.NodeSettings;
+
+/**
+ * An edge node: listens, checks tokens, lets the decision module decide, talks to the app servers. Several may run in
+ * one process; they share nothing but the logging. All methods may be called from any thread but the node's own.
+ */
+public final class EdgeNode implements AutoCloseable {
+    private static final Duration DRAIN = Duration.ofSeconds(5);
+
+    /**
+     * What is not an operator's to set.
+     *
+     * @param seed the source of the node's chance
+     * @param wall the wall clock
+     * @param faults planted faults; none in service
+     */
+    public record Options(long seed, WallClock wall, Set<Fault> faults) {
+        /** Chance from the system, the system's clock, no fault. */
+        public static Options standard() {
+            return new Options(ThreadLocalRandom.current().nextLong(), WallClock.SYSTEM, Set.of());
+        }
+    }
+
+    private final MultiThreadIoEventLoopGroup group;
+    private final EventLoop loop;
+    private final Front front;
+    private final Channel listener;
+    private boolean stopped;
+
+    private EdgeNode(NodeSettings settings, Options options) throws IOException {
+        Logger log = LoggerFactory.getLogger("thistlefall.node");
+        group = new MultiThreadIoEventLoopGroup(1,
+            new DefaultThreadFactory("thistlefall-" + settings.node().name(), true), NioIoHandler.newFactory());
+        loop = group.next();
+        try {
+            front = loop.submit(() -> new Front(settings, options, loop, log)).syncUninterruptibly().getNow();
+            listener = listen(settings);
+        } catch (RuntimeException e) {
+            group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+            throw e;
+        }
+        log.atInfo().addKeyValue("node", settings.node().name()).addKeyValue("address", address().toString())
+            .log("listening");
+    }
+
+    private Channel listen(NodeSettings settings) throws IOException {
+        var limits = Defaults.limits(settings);
+        var bind = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(32 * 1024, 64 * 1024))
+            .childHandler(new ChannelInitializer<SocketChannel>() {
+                @Override
+                protected void initChannel(SocketChannel channel) {
+                    var decoder = new RequestDecoder(Defaults.http(limits));
+                    var client = new ClientConnection(front, front.timers(), limits, decoder);
+                    if (front.opened(client)) {
+                        channel.pipeline().addLast(decoder, client);
+                    } else {
+                        channel.close();
+                    }
+                }
+            }).bind(settings.listen().host(), settings.listen().port()).awaitUninterruptibly();
+        if (!bind.isSuccess()) {
+            group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+            throw new IOException("can't listen at " + settings.listen().host() + ":" + settings.listen().port()
+                + ": " + bind.cause().getMessage(), bind.cause());
+        }
+        return bind.channel();
+    }
+
+    /**
+     * Starts a node that listens when this returns.
+     *
+     * @throws IOException if it can't listen where it should
+     */
+    public static EdgeNode start(NodeSettings settings) throws IOException {
+        return start(settings, Options.standard());
+    }
+
+    /** Starts a node with options of its own. */
+    public static EdgeNode start(NodeSettings settings, Options options) throws IOException {
+        return new EdgeNode(settings, options);
+    }
+
+    /** Where it listens. */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) listener.localAddress();
+    }
+
+    /** What it has done so far. */
+    public Map<String, Long> counts() {
+        return front.counts().asMap();
+    }
+
+    /** The parts behind it, for tests of the host. */
+    Front front() {
+        return front;
+    }
+
+    /** The loop it runs on, for tests of the host. */
+    EventLoop loop() {
+        return loop;
+    }
+
+    /**
+     * Stops: takes nothing new, waits for the answers owed as long as the span allows, then gives those still owed as
+     * refused or failed, whichever is true, and closes.
+     */
+    public synchronized void stop(Duration drain) {
+        if (stopped) {
+            return;
+        }
+        stopped = true;
+        listener.close().awaitUninterruptibly(1_000);
+        var done = new CompletableFuture<Void>();
+        long until = System.nanoTime() + drain.toNanos();
+        loop.execute(() -> {
+            front.drain();
+            awaitIdle(until, done);
+        });
+        try {
+            done.get(drain.toMillis() + 2_000, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (java.util.concurrent.ExecutionException | java.util.concurrent.TimeoutException e) {
+            LoggerFactory.getLogger("thistlefall.node").warn("stopped before all was told", e);
+        }
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(2_000);
+    }
+
+    /** Ends the node as a crash would: nothing is answered or told any more. For rehearsals and tests. */
+    public synchronized void kill() {
+        if (stopped) {
+            return;
+        }
+        stopped = true;
+        listener.close();
+        loop.submit(front::kill).awaitUninterruptibly(2_000);
+        group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS).awaitUninterruptibly(2_000);
+    }
+
+    /** Blocks the node's loop, as a long collection would. For rehearsals and tests. */
+    public void stall(Duration span) {
+        loop.execute(() -> {
+            try {
+                Thread.sleep(span.toMillis());
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+    }
+
+    private void awaitIdle(long until, CompletableFuture<Void> done) {
+        if (front.owed() > 0 && System.nanoTime() < until) {
+            loop.schedule(() -> awaitIdle(until, done), 5, TimeUnit.MILLISECONDS);
+            return;
+        }
+        try {
+            front.close();
+        } finally {
+            done.complete(null);
+        }
+    }
+
+    @Override
+    public void close() {
+        stop(DRAIN);
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/thistlefall/edge/host/Fault.java
@@ -0,0 +1,31 @@
+package thistlefall.edge.host;
+
+/** Faults that can be planted in a node, to show that the checkers of the rules catch them. Never in service. */
+public enum Fault {
+    /** Rule 1: one answer in fifty is swallowed. */
+    LOSE_ANSWERS(1),
+    /** Rule 2: a broken attempt is told to the module as one that never ran. */
+    FALSE_PROOF(2),
+    /** Rule 3: word that a server drains or is gone is kept from the module. */
+    DEAF_TO_DRAINS(3),
+    /** Rule 4: every server is told to the module as started long ago. */
+    COLD_AS_WARM(4),
+    /** Rule 5: the module is told of no ceiling. */
+    NO_CEILING(5);
+
+    private final int rule;
+
+    Fault(int rule) {
+        this.rule = rule;
+    }
+
+    /** The rule that it breaks. */
+    public int rule() {
+        return rule;
+    }
+
+    /** Its name on the command line. */
+    public String label() {
+        return name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/thistlefall/edge/host/NodeCounts.java
@@ -0,0 +1,46 @@
+package thistlefall.edge.host;
+
+/** What a node has done since its start. Written on its event loop only; a reader elsewhere sees old values at worst. */
+public final class NodeCounts {
+    long requests;
+    long served;
+    long refused;
+    long failed;
+    long attempts;
+    long probes;
+    long counterCalls;
+    long counterFailures;
+    long introspections;
+    long staleTokens;
+    long deniedTokens;
+    long unknownTokens;
+    long clientsGone;
+    long endedByLedger;
+    long connectionsTurnedAway;
+    long listFailures;
+
+    NodeCounts() {
+    }
+
+    /** The counts by name, in a fixed order. */
+    public java.util.Map<String, Long> asMap() {
+        var map = new java.util.LinkedHashMap<String, Long>();
+        map.put("requests", requests);
+        map.put("served", served);
+        map.put("refused", refused);
+        map.put("failed", failed);
+        map.put("attempts", attempts);
+        map.put("probes", probes);
+        map.put("counter_calls", counterCalls);
+        map.put("counter_failures", counterFailures);
+        map.put("introspections", introspections);
+        map.put("stale_tokens", staleTokens);
+        map.put("denied_tokens", deniedTokens);
+        map.put("unknown_tokens", unknownTokens);
+        map.put("clients_gone", clientsGone);
+        map.put("ended_by_ledger", endedByLedger);
+        map.put("connections_turned_away", connectionsTurnedAway);
+        map.put("list_failures", listFailures);
+        return map;
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/thistlefall/edge/host/RequestBody.java
@@ -0,0 +1,109 @@
+package thistlefall.edge.host;
+
+import io.netty.buffer.ByteBuf;
+import java.util.ArrayList;
+import java.util.List;
+import thistlefall.edge.http.Fields;
+
+/**
+ * A request's body on its way through: pieces are passed on as they come, and held as well while they are few enough
+ * for another attempt. What is held is bounded by the limit and one read of the socket.
+ */
+final class RequestBody {
+    /** Where the pieces go. */
+    interface Sink {
+        /** A piece; the receiver releases it. */
+        void piece(ByteBuf piece);
+
+        /** The body is whole. */
+        void end(Fields trailers);
+
+        /** Whether more can be taken. */
+        boolean writable();
+    }
+
+    private final int limit;
+    private final List<ByteBuf> held = new ArrayList<>(2);
+    private int heldBytes;
+    private boolean lost;
+    private boolean released;
+    private Fields trailers;
+    private Sink sink;
+
+    RequestBody(int limit) {
+        this.limit = limit;
+    }
+
+    boolean whole() {
+        return trailers != null;
+    }
+
+    /** Whether all that came is still here for another attempt. */
+    boolean replayable() {
+        return !lost;
+    }
+
+    /** Whether more should be read from the client. */
+    boolean hungry() {
+        return sink != null ? sink.writable() : heldBytes < limit;
+    }
+
+    void add(ByteBuf piece) {
+        if (released) {
+            piece.release();
+            return;
+        }
+        if (!lost) {
+            held.add(piece.retainedDuplicate());
+            heldBytes += piece.readableBytes();
+        }
+        if (sink != null) {
+            sink.piece(piece);
+            letGoIfLong();
+        } else {
+            piece.release();
+        }
+    }
+
+    void end(Fields with) {
+        trailers = with;
+        if (sink != null) {
+            sink.end(with);
+        }
+    }
+
+    /** Sends all that is held, and what comes from now on, to a sink. */
+    void attach(Sink to) {
+        sink = to;
+        for (ByteBuf piece : held) {
+            to.piece(piece.retainedDuplicate());
+        }
+        letGoIfLong();
+        if (whole()) {
+            to.end(trailers);
+        }
+    }
+
+    void detach() {
+        sink = null;
+    }
+
+    private void letGoIfLong() {
+        if (heldBytes > limit && !lost) {
+            lost = true;
+            drop();
+        }
+    }
+
+    private void drop() {
+        held.forEach(ByteBuf::release);
+        held.clear();
+        heldBytes = 0;
+    }
+
+    void release() {
+        released = true;
+        sink = null;
+        drop();
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/thistlefall/edge/host/Routes.java
@@ -0,0 +1,47 @@
+package thistlefall.edge.host;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import thistlefall.edge.settings.NodeSettings;
+
+/** Finds the class and the guessed cost of a request: the first route in the settings that fits. */
+final class Routes {
+    /** What a route says. */
+    record Route(int requestClass, String className, double units, String unitsField) {
+    }
+
+    private record Rule(String method, String path, boolean prefix, Route route) {
+        boolean fits(String wantedMethod, String wantedPath) {
+            return (method == null || method.equals(wantedMethod))
+                && (prefix ? wantedPath.startsWith(path) : wantedPath.equals(path));
+        }
+    }
+
+    private final List<Rule> rules = new ArrayList<>();
+
+    Routes(NodeSettings settings) {
+        Map<String, Integer> classes = new HashMap<>();
+        for (int i = 0; i < settings.classes().size(); i++) {
+            classes.put(settings.classes().get(i).name(), i);
+        }
+        for (var route : settings.routes()) {
+            boolean prefix = route.path().endsWith("*");
+            String path = prefix ? route.path().substring(0, route.path().length() - 1) : route.path();
+            rules.add(new Rule(route.method(), path, prefix, new Route(classes.get(route.requestClass()),
+                route.requestClass(), route.units() == null ? 1 : route.units(),
+                route.unitsField() == null ? null : route.unitsField().toLowerCase(Locale.ROOT))));
+        }
+    }
+
+    Route find(String method, String path) {
+        for (Rule rule : rules) {
+            if (rule.fits(method, path)) {
+                return rule.route;
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/thistlefall/edge/http/Fields.java
@@ -0,0 +1,130 @@
+package thistlefall.edge.http;
+
+import io.netty.buffer.ByteBuf;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
+
+/**
+ * The field lines of a head or of trailers: one copy of the bytes as they came, and the places of names and values
+ * in it. Text is made only of what is asked for; passing fields on copies bytes. Unmodifiable.
+ */
+public final class Fields {
+    /** No fields. */
+    public static final Fields NONE = new Fields(new byte[0], new int[0], 0);
+    private static final int SPANS = 4;
+
+    private final byte[] block;
+    private final int[] spans;
+    private final int count;
+
+    /** Fields whose name and value spans (start, end, start, end) lie in the block. */
+    Fields(byte[] block, int[] spans, int count) {
+        this.block = block;
+        this.spans = spans;
+        this.count = count;
+    }
+
+    /** How many field lines there are. */
+    public int size() {
+        return count;
+    }
+
+    /** The name of a line, as it came. */
+    public String name(int line) {
+        return text(spans[line * SPANS], spans[line * SPANS + 1]);
+    }
+
+    /** The value of a line, without the white space around it. */
+    public String value(int line) {
+        return text(spans[line * SPANS + 2], spans[line * SPANS + 3]);
+    }
+
+    /** The first value of a field; null if it is absent. The name is given in lower case. */
+    public String get(String lowerName) {
+        int line = find(lowerName, 0);
+        return line < 0 ? null : value(line);
+    }
+
+    /** Whether a field is present. */
+    public boolean has(String lowerName) {
+        return find(lowerName, 0) >= 0;
+    }
+
+    /** All values of a field, in order. */
+    public List<String> all(String lowerName) {
+        List<String> values = new ArrayList<>(1);
+        for (int line = find(lowerName, 0); line >= 0; line = find(lowerName, line + 1)) {
+            values.add(value(line));
+        }
+        return values;
+    }
+
+    /** The first line at or after {@code from} with this name; -1 if there is none. */
+    public int find(String lowerName, int from) {
+        int length = lowerName.length();
+        for (int line = from; line < count; line++) {
+            int start = spans[line * SPANS];
+            if (spans[line * SPANS + 1] - start == length && same(lowerName, start, length)) {
+                return line;
+            }
+        }
+        return -1;
+    }
+
+    /** Whether a list-valued field has this member, whatever the case of its letters. */
+    public boolean lists(String lowerName, String member) {
+        for (int line = find(lowerName, 0); line >= 0; line = find(lowerName, line + 1)) {
+            for (String part : value(line).split(",")) {
+                if (part.strip().equalsIgnoreCase(member)) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
+    /** Writes the lines whose lower-case name passes, as {@code name: value CRLF}. */
+    public void writeTo(ByteBuf out, Predicate<String> pass) {
+        for (int line = 0; line < count; line++) {
+            if (pass.test(lowerName(line))) {
+                int at = line * SPANS;
+                out.writeBytes(block, spans[at], spans[at + 1] - spans[at]);
+                out.writeShort(':' << 8 | ' ');
+                out.writeBytes(block, spans[at + 2], spans[at + 3] - spans[at + 2]);
+                out.writeShort('\r' << 8 | '\n');
+            }
+        }
+    }
+
+    /** The name of a line in lower case. */
+    public String lowerName(int line) {
+        int start = spans[line * SPANS];
+        int end = spans[line * SPANS + 1];
+        String known = CommonNames.find(block, start, end);
+        return known != null ? known : text(start, end).toLowerCase(java.util.Locale.ROOT);
+    }
+
+    private boolean same(String lowerName, int start, int length) {
+        for (int i = 0; i < length; i++) {
+            if (Chars.lower(block[start + i]) != lowerName.charAt(i)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private String text(int start, int end) {
+        return new String(block, start, end - start, StandardCharsets.ISO_8859_1);
+    }
+
+    @Override
+    public String toString() {
+        StringBuilder text = new StringBuilder();
+        for (int line = 0; line < count; line++) {
+            text.append(name(line)).append(": ").append(value(line)).append('\n');
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/thistlefall/edge/http/HttpWriter.java
@@ -0,0 +1,132 @@
+package thistlefall.edge.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Set;
+
+/** Writes heads and chunks. */
+public final class HttpWriter {
+    /** Fields of one connection, not of the message: never passed on (RFC 9110 section 7.6.1). */
+    private static final Set<String> HOP = Set.of("connection", "keep-alive", "proxy-connection", "te", "trailer",
+        "transfer-encoding", "upgrade", "content-length", "expect", "proxy-authorization", "proxy-authenticate");
+    private static final byte[] VERSION = ascii(" HTTP/1.1\r\n");
+    private static final byte[] CHUNKED = ascii("Transfer-Encoding: chunked\r\n");
+    private static final byte[] LENGTH = ascii("Content-Length: ");
+    private static final byte[] CLOSE = ascii("Connection: close\r\n");
+    private static final ByteBuf LAST_CHUNK =
+        Unpooled.unreleasableBuffer(Unpooled.directBuffer(5).writeBytes(ascii("0\r\n\r\n"))).asReadOnly();
+    private static final Map<Integer, String> REASONS = Map.ofEntries(Map.entry(200, "OK"),
+        Map.entry(201, "Created"), Map.entry(202, "Accepted"), Map.entry(204, "No Content"),
+        Map.entry(304, "Not Modified"), Map.entry(400, "Bad Request"), Map.entry(401, "Unauthorized"),
+        Map.entry(403, "Forbidden"), Map.entry(404, "Not Found"), Map.entry(405, "Method Not Allowed"),
+        Map.entry(408, "Request Timeout"), Map.entry(409, "Conflict"), Map.entry(413, "Content Too Large"),
+        Map.entry(414, "URI Too Long"), Map.entry(429, "Too Many Requests"),
+        Map.entry(431, "Request Header Fields Too Large"), Map.entry(500, "Internal Server Error"),
+        Map.entry(501, "Not Implemented"), Map.entry(502, "Bad Gateway"), Map.entry(503, "Service Unavailable"),
+        Map.entry(504, "Gateway Timeout"), Map.entry(505, "HTTP Version Not Supported"));
+
+    private HttpWriter() {
+    }
+
+    private static byte[] ascii(String text) {
+        return text.getBytes(StandardCharsets.US_ASCII);
+    }
+
+    /** Whether a field, its name in lower case, belongs to the message and may be passed on. */
+    public static boolean endToEnd(String lowerName) {
+        return !HOP.contains(lowerName);
+    }
+
+    /** Begins a request. */
+    public static ByteBuf request(ByteBufAllocator alloc, String method, String target) {
+        ByteBuf out = alloc.ioBuffer(512);
+        ByteBufUtil.writeAscii(out, method);
+        out.writeByte(' ');
+        ByteBufUtil.writeAscii(out, target);
+        return out.writeBytes(VERSION);
+    }
+
+    /** Begins a response. */
+    public static ByteBuf response(ByteBufAllocator alloc, int status) {
+        ByteBuf out = alloc.ioBuffer(512);
+        ByteBufUtil.writeAscii(out, "HTTP/1.1 ");
+        number(out, status);
+        out.writeByte(' ');
+        ByteBufUtil.writeAscii(out, REASONS.getOrDefault(status, ""));
+        return out.writeShort('\r' << 8 | '\n');
+    }
+
+    /** Adds a field. The value must hold no line break. */
+    public static ByteBuf field(ByteBuf out, String name, String value) {
+        if (value.indexOf('\r') >= 0 || value.indexOf('\n') >= 0) {
+            throw new IllegalArgumentException("a line break in " + name);
+        }
+        ByteBufUtil.writeAscii(out, name);
+        out.writeShort(':' << 8 | ' ');
+        out.writeCharSequence(value, StandardCharsets.ISO_8859_1);
+        return out.writeShort('\r' << 8 | '\n');
+    }
+
+    /** Adds what the framing needs. */
+    public static ByteBuf framing(ByteBuf out, Framing framing, boolean tellNone) {
+        switch (framing.kind()) {
+            case CHUNKED -> out.writeBytes(CHUNKED);
+            case LENGTH -> length(out, framing.length());
+            case NONE -> {
+                if (tellNone) {
+                    length(out, 0);
+                }
+            }
+            case CLOSE -> close(out);
+        }
+        return out;
+    }
+
+    /** Adds a content length. */
+    public static ByteBuf length(ByteBuf out, long length) {
+        out.writeBytes(LENGTH);
+        number(out, length);
+        return out.writeShort('\r' << 8 | '\n');
+    }
+
+    /** Adds that the connection ends after this message. */
+    public static ByteBuf close(ByteBuf out) {
+        return out.writeBytes(CLOSE);
+    }
+
+    /** Ends a head. */
+    public static ByteBuf end(ByteBuf out) {
+        return out.writeShort('\r' << 8 | '\n');
+    }
+
+    /** The line before a chunk's data. */
+    public static ByteBuf chunkSize(ByteBufAllocator alloc, int size) {
+        ByteBuf out = alloc.ioBuffer(12);
+        ByteBufUtil.writeAscii(out, Integer.toHexString(size));
+        return end(out);
+    }
+
+    /** The line end after a chunk's data. */
+    public static ByteBuf chunkEnd(ByteBufAllocator alloc) {
+        return end(alloc.ioBuffer(2));
+    }
+
+    /** The last chunk and the trailers. */
+    public static ByteBuf lastChunk(ByteBufAllocator alloc, Fields trailers) {
+        if (trailers.size() == 0) {
+            return LAST_CHUNK.duplicate();
+        }
+        ByteBuf out = alloc.ioBuffer(256);
+        ByteBufUtil.writeAscii(out, "0\r\n");
+        trailers.writeTo(out, HttpWriter::endToEnd);
+        return end(out);
+    }
+
+    private static void number(ByteBuf out, long value) {
+        ByteBufUtil.writeAscii(out, Long.toString(value));
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/thistlefall/standin/day/Troubles.java
@@ -0,0 +1,252 @@
+package thistlefall.standin.day;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.SplittableRandom;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import thistlefall.standin.app.AppServer;
+import thistlefall.standin.auth.IntrospectionServer.Mode;
+import thistlefall.standin.load.LoadClients;
+import thistlefall.standin.roll.ListServer;
+
+/** The kinds of trouble a day can script, each with what it does and how it is undone. */
+final class Troubles {
+    /** What a trouble does; times are milliseconds from its beginning. */
+    private interface Kind {
+        void begin(Troubles play, Day.Trouble trouble, SplittableRandom random);
+    }
+
+    private static final Map<String, Kind> KINDS = new LinkedHashMap<>();
+
+    static {
+        KINDS.put("counter_silent", (p, t, r) -> p.spell(t, () -> p.stage.counter.silent(true),
+            () -> p.stage.counter.silent(false)));
+        KINDS.put("origin_slow", (p, t, r) -> p.spell(t, () -> p.stage.counter.slow((long) (3 * t.size())),
+            () -> p.stage.counter.slow(0)));
+        KINDS.put("counter_down", (p, t, r) -> p.spell(t, t.size() > 0 ? p.stage.counter::die
+            : p.stage.counter::dieKeeping, p.stage.counter::back));
+        KINDS.put("flush", (p, t, r) -> p.stage.counter.lose(t.size()));
+        KINDS.put("introspection_silent", (p, t, r) -> p.introspection(t, Mode.SILENT));
+        KINDS.put("introspection_slow", (p, t, r) -> p.introspection(t, Mode.SLOW));
+        KINDS.put("introspection_failing", (p, t, r) -> p.introspection(t, Mode.FAILING));
+        KINDS.put("introspection_garbling", (p, t, r) -> p.introspection(t, Mode.GARBLING));
+        KINDS.put("introspection_credentials", (p, t, r) -> p.introspection(t, Mode.REJECTING_CREDENTIALS));
+        KINDS.put("token_revoked", (p, t, r) -> p.customers(t, r).forEach(p.stage.tokens::revoke));
+        KINDS.put("token_expiry", (p, t, r) -> p.customers(t, r).forEach(customer ->
+            p.stage.tokens.expireSoon(customer, p.planOf(customer))));
+        KINDS.put("fast_errors", (p, t, r) -> p.some(t, r, server -> server.failing(t.size()),
+            server -> server.failing(0)));
+        KINDS.put("slow", (p, t, r) -> p.some(t, r, server -> server.slow(t.size()), server -> server.slow(1)));
+        KINDS.put("shared_slow", (p, t, r) -> p.spell(t, () -> p.stage.servers.values().forEach(s -> s.slow(t.size())),
+            () -> p.stage.servers.values().forEach(s -> s.slow(1))));
+        KINDS.put("cut_answers", (p, t, r) -> p.some(t, r, server -> server.cutting(t.size()),
+            server -> server.cutting(0)));
+        KINDS.put("throttle", (p, t, r) -> p.some(t, r, server -> server.throttled(t.size()),
+            server -> server.throttled(0)));
+        KINDS.put("report_gap", (p, t, r) -> p.some(t, r, server -> server.silentLoad(true),
+            server -> server.silentLoad(false)));
+        KINDS.put("preempt", (p, t, r) -> p.preempt(t, r));
+        KINDS.put("drain", (p, t, r) -> p.drain(t, r));
+        KINDS.put("shrink", (p, t, r) -> p.drain(t, r));
+        KINDS.put("zone_cut", (p, t, r) -> p.spell(t, () -> p.stage.network.cut(t.target()),
+            () -> p.stage.network.mend(t.target())));
+        KINDS.put("zone_loss", (p, t, r) -> p.zoneLoss(t));
+        KINDS.put("balancer_crash", (p, t, r) -> p.crash(t));
+        KINDS.put("balancer_stall", (p, t, r) -> p.stall(t));
+        KINDS.put("retry_abuse", (p, t, r) -> p.spell(t, () -> p.stage.clients.abuse(new LoadClients.Abuse(t.target(),
+            (int) t.size(), t.extra())), () -> p.stage.clients.abuse(null)));
+        KINDS.put("hot_key", (p, t, r) -> { });
+        KINDS.put("slow_readers", (p, t, r) -> p.slowReaders(t));
+        KINDS.put("malformed", (p, t, r) -> p.malformed(t));
+        KINDS.put("list_failing", (p, t, r) -> p.listMode(t, ListServer.Mode.FAILING));
+        KINDS.put("list_empty", (p, t, r) -> p.listMode(t, ListServer.Mode.EMPTY));
+        KINDS.put("list_garbling", (p, t, r) -> p.listMode(t, ListServer.Mode.GARBLING));
+    }
+
+    private final Stage stage;
+    private final ScheduledExecutorService script;
+    private final long start;
+
+    Troubles(Stage stage, ScheduledExecutorService script) {
+        this.stage = stage;
+        this.script = script;
+        start = System.nanoTime();
+    }
+
+    /** The kinds there are. */
+    static List<String> kinds() {
+        return List.copyOf(KINDS.keySet());
+    }
+
+    static boolean known(String name) {
+        return KINDS.containsKey(name);
+    }
+
+    /** Sets all of a day's troubles in motion; each draws from a seed of its own. */
+    void schedule(long seed) {
+        var random = new SplittableRandom(seed);
+        for (Day.Trouble trouble : stage.day.troubles()) {
+            SplittableRandom own = random.split();
+            after(trouble.at().toMillis(), () -> KINDS.get(trouble.name()).begin(this, trouble, own));
+        }
+    }
+
+    private void after(long millis, Runnable what) {
+        script.schedule(() -> {
+            try {
+                what.run();
+            } catch (RuntimeException e) {
+                org.slf4j.LoggerFactory.getLogger("thistlefall.rehearsal").error("a trouble went wrong", e);
+            }
+        }, millis, TimeUnit.MILLISECONDS);
+    }
+
+    private void spell(Day.Trouble trouble, Runnable on, Runnable off) {
+        on.run();
+        after(trouble.len().toMillis(), off);
+    }
+
+    private void introspection(Day.Trouble trouble, Mode mode) {
+        spell(trouble, () -> stage.introspection.mode(mode, (long) trouble.size()),
+            () -> stage.introspection.mode(Mode.WELL, 0));
+    }
+
+    private void listMode(Day.Trouble trouble, ListServer.Mode mode) {
+        spell(trouble, () -> stage.list.mode(mode), () -> stage.list.mode(ListServer.Mode.WELL));
+    }
+
+    private interface OnServer {
+        void act(AppServer server);
+    }
+
+    private void some(Day.Trouble trouble, SplittableRandom random, OnServer on, OnServer off) {
+        List<AppServer> struck = servers(trouble, random);
+        spell(trouble, () -> struck.forEach(on::act), () -> struck.forEach(off::act));
+    }
+
+    /** The servers a trouble strikes: its target, or a part drawn by chance, one at least. */
+    private List<AppServer> servers(Day.Trouble trouble, SplittableRandom random) {
+        if (trouble.target() != null) {
+            return List.of(stage.servers.get(trouble.target()));
+        }
+        return part(new ArrayList<>(stage.servers.values()), trouble.part(), random);
+    }
+
+    private static <T> List<T> part(List<T> all, double part, SplittableRandom random) {
+        Collections.shuffle(all, new Random(random.nextLong()));
+        return all.subList(0, Math.min(all.size(), (int) Math.max(1, Math.round(part * all.size()))));
+    }
+
+    private List<String> customers(Day.Trouble trouble, SplittableRandom random) {
+        List<String> all = new ArrayList<>(stage.tokens.customers());
+        Collections.sort(all);
+        return all.isEmpty() ? all : part(all, trouble.part(), random);
+    }
+
+    private String planOf(String customer) {
+        return stage.day.customers().stream().filter(k -> customer.startsWith(k.name() + "-")).map(Day.Customers::plan)
+            .findFirst().orElseThrow();
+    }
+
+    /** Servers die without a word; the list notices late; they come back cold. */
+    private void preempt(Day.Trouble trouble, SplittableRandom random) {
+        for (AppServer server : servers(trouble, random)) {
+            server.die();
+            after(600, () -> stage.unlist(server.spec().id()));
+            after(trouble.len().toMillis(), () -> back(server));
+        }
+    }
+
+    private void back(AppServer server) {
+        server.startCold();
+        stage.list(server, "ready", System.currentTimeMillis() / 1e3);
+    }
+
+    /** Servers are drained one after another, taken off the list, and start cold at the end. */
+    private void drain(Day.Trouble trouble, SplittableRandom random) {
+        List<AppServer> drained = servers(trouble, random);
+        long step = trouble.len().toMillis() / 2 / drained.size();
+        for (int i = 0; i < drained.size(); i++) {
+            AppServer server = drained.get(i);
+            after(i * step, () -> stage.list(server, "draining", 0));
+            after(i * step + trouble.len().toMillis() / 2, () -> {
+                stage.unlist(server.spec().id());
+                server.die();
+            });
+            after(i * step + trouble.len().toMillis(), () -> back(server));
+        }
+    }
+
+    /** A zone's servers and nodes die together and come back, the servers cold. */
+    private void zoneLoss(Day.Trouble trouble) {
+        List<AppServer> lost = stage.servers.values().stream().filter(s -> s.spec().zone().equals(trouble.target()))
+            .toList();
+        lost.forEach(AppServer::die);
+        after(1_000, () -> lost.forEach(server -> stage.unlist(server.spec().id())));
+        after(trouble.len().toMillis(), () -> lost.forEach(this::back));
+        for (int i = 0; i < stage.nodes.size(); i++) {
+            if (stage.nodeZone(i).equals(trouble.target()) && trouble.size() > 0) {
+                int node = i;
+                stage.killNode(node);
+                after(trouble.len().toMillis(), () -> startNode(node));
+            }
+        }
+    }
+
+    private int node(Day.Trouble trouble) {
+        for (int i = 0; i < stage.nodes.size(); i++) {
+            if (stage.nodeName(i).equals(trouble.target())) {
+                return i;
+            }
+        }
+        return 0;
+    }
+
+    private void crash(Day.Trouble trouble) {
+        int node = node(trouble);
+        spell(trouble, () -> stage.killNode(node), () -> startNode(node));
+    }
+
+    private void startNode(int node) {
+        try {
+            stage.startNode(node);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private void stall(Day.Trouble trouble) {
+        int node = node(trouble);
+        spell(trouble, () -> stage.stallNode(node, trouble.len()), () -> stage.stallOver(node));
+    }
+
+    private void slowReaders(Day.Trouble trouble) {
+        Day.Customers kind = stage.day.customers().get(0);
+        String safe = stage.day.settings().classes().stream().filter(c -> c.repeat() == thistlefall.Ports.Repeat.SAFE)
+            .findFirst().orElseThrow().name();
+        for (int i = 0; i < Math.max(1, (int) trouble.size()); i++) {
+            int node = i % stage.nodes.size();
+            String token = stage.tokens.of(kind.name() + "-" + i % kind.count(), kind.plan());
+            stage.nuisance.slowReader(stage.nodeAddress(node), "/" + safe, token, trouble.len().toMillis());
+            stage.nuisance.slowHead(stage.nodeAddress(node), trouble.len().toMillis());
+        }
+    }
+
+    private void malformed(Day.Trouble trouble) {
+        for (int i = 0; i < Math.max(1, (int) trouble.size()); i++) {
+            stage.nuisance.malformed(stage.nodeAddress(i % stage.nodes.size()));
+        }
+    }
+
+    /** Milliseconds since the script began. */
+    long elapsed() {
+        return (System.nanoTime() - start) / 1_000_000;
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/thistlefall/standin/net/HttpStand.java
@@ -0,0 +1,224 @@
+package thistlefall.standin.net;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.ReferenceCountUtil;
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import thistlefall.edge.http.BodyEnd;
+import thistlefall.edge.http.Head;
+import thistlefall.edge.http.HttpLimits;
+import thistlefall.edge.http.HttpWriter;
+import thistlefall.edge.http.Malformed;
+import thistlefall.edge.http.RequestDecoder;
+
+/** A small HTTP server on one event loop: requests come whole, up to 64 KiB of each body are kept. */
+public abstract class HttpStand {
+    private static final int KEPT = 64 * 1024;
+
+    /** A request, and the way to answer it. */
+    public final class Inbound {
+        private final Channel channel;
+        private final Head.Request head;
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private boolean answered;
+
+        private Inbound(Channel channel, Head.Request head) {
+            this.channel = channel;
+            this.head = head;
+        }
+
+        /** The head. */
+        public Head.Request head() {
+            return head;
+        }
+
+        /** The first value of a field; empty if it is absent. */
+        public String field(String lowerName) {
+            String value = head.fields().get(lowerName);
+            return value == null ? "" : value;
+        }
+
+        /** The beginning of the body. */
+        public byte[] body() {
+            return body.toByteArray();
+        }
+
+        /** The peer's address. */
+        public String peer() {
+            return Network.peer(channel);
+        }
+
+        /** Whether the connection is still there. */
+        public boolean alive() {
+            return channel.isActive();
+        }
+
+        /** Answers; whether the bytes could be handed to the connection. */
+        public boolean answer(int status, Map<String, String> fields, byte[] content) {
+            return write(status, fields, content, content.length);
+        }
+
+        /** Tells of the whole body but writes a part of it, then cuts the line. */
+        public void answerCut(int status, Map<String, String> fields, byte[] content) {
+            write(status, fields, java.util.Arrays.copyOf(content, content.length / 2), content.length);
+            cut();
+        }
+
+        private boolean write(int status, Map<String, String> fields, byte[] content, int told) {
+            if (answered) {
+                throw new IllegalStateException("answered twice");
+            }
+            answered = true;
+            if (!channel.isActive()) {
+                return false;
+            }
+            ByteBuf out = HttpWriter.response(channel.alloc(), status);
+            fields.forEach((name, value) -> HttpWriter.field(out, name, value));
+            HttpWriter.length(out, told);
+            HttpWriter.end(out);
+            if (!head.method().equals("HEAD")) {
+                out.writeBytes(content);
+            }
+            var written = channel.writeAndFlush(out);
+            if (!head.keepAlive()) {
+                written.addListener(ChannelFutureListener.CLOSE);
+            }
+            return true;
+        }
+
+        /** Writes raw bytes in place of an answer, and ends the connection. */
+        public void garble(String text) {
+            answered = true;
+            channel.writeAndFlush(channel.alloc().buffer().writeBytes(text.getBytes(StandardCharsets.ISO_8859_1)))
+                .addListener(ChannelFutureListener.CLOSE);
+        }
+
+        /** Breaks the connection without an answer. */
+        public void cut() {
+            if (channel instanceof SocketChannel socket && socket.isActive()) {
+                socket.config().setSoLinger(0);
+            }
+            channel.close();
+        }
+    }
+
+    private final EventLoop loop;
+    private final Network network;
+    private final String zone;
+    private final Set<Channel> open = ConcurrentHashMap.newKeySet();
+    private InetSocketAddress address;
+    private Channel listener;
+
+    /** A server that will run on a loop, in a zone of a network; null for none. */
+    protected HttpStand(EventLoop loop, Network network, String zone) {
+        this.loop = loop;
+        this.network = network;
+        this.zone = zone;
+    }
+
+    /** A request is whole. Called on the loop; the answer may come later, from the loop. */
+    protected abstract void handle(Inbound inbound);
+
+    /** The head of a request is in; false to break the connection at once. */
+    protected boolean admits(Inbound inbound) {
+        return true;
+    }
+
+    /** The loop it runs on. */
+    public final EventLoop loop() {
+        return loop;
+    }
+
+    /** Where it listens, or listened last. */
+    public final InetSocketAddress address() {
+        return address;
+    }
+
+    /** Listens; port 0 for any. Must not be called on the loop. */
+    public final void listen(String host, int port) {
+        listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 512)
+            .childOption(ChannelOption.TCP_NODELAY, true).childHandler(new ChannelInitializer<SocketChannel>() {
+                @Override
+                protected void initChannel(SocketChannel channel) {
+                    open.add(channel);
+                    channel.closeFuture().addListener(closed -> open.remove(channel));
+                    if (network != null) {
+                        channel.pipeline().addLast(network.link(zone));
+                    }
+                    channel.pipeline().addLast(new RequestDecoder(HttpLimits.DEFAULT), new Reader());
+                }
+            }).bind(host, port).syncUninterruptibly().channel();
+        address = (InetSocketAddress) listener.localAddress();
+    }
+
+    /** Stops listening and breaks every connection, as a killed process does. */
+    public final void kill() {
+        if (listener != null) {
+            listener.close();
+            listener = null;
+        }
+        open.forEach(channel -> {
+            if (channel instanceof SocketChannel socket && socket.isActive()) {
+                socket.config().setSoLinger(0);
+            }
+            channel.close();
+        });
+    }
+
+    /** Listens again where it did. Must not be called on the loop. */
+    public final void relisten() {
+        listen(address.getHostString(), address.getPort());
+    }
+
+    private final class Reader extends ChannelInboundHandlerAdapter {
+        private Inbound inbound;
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            if (message instanceof Head.Request head) {
+                inbound = new Inbound(context.channel(), head);
+                if (!admits(inbound)) {
+                    inbound.cut();
+                    inbound = null;
+                }
+            } else if (message instanceof ByteBuf piece) {
+                if (inbound != null && inbound.body.size() < KEPT) {
+                    byte[] bytes = new byte[Math.min(piece.readableBytes(), KEPT)];
+                    piece.readBytes(bytes);
+                    inbound.body.writeBytes(bytes);
+                }
+                piece.release();
+            } else if (message instanceof BodyEnd) {
+                if (inbound != null) {
+                    Inbound whole = inbound;
+                    inbound = null;
+                    handle(whole);
+                }
+            } else if (message instanceof Malformed) {
+                context.close();
+            } else {
+                ReferenceCountUtil.release(message);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
