Small answers are passed on whole: one cut in the middle may be tried again

A connection that breaks while a request is being written no longer throws out of the module's event.

--- a/cli/src/main/resources/days/common.libsonnet
+++ b/cli/src/main/resources/days/common.libsonnet
@@ -22,7 +22,7 @@
     counter: { timeout: '50ms', settles: true, largest: 4 },
     servers: { probes: true, reports: ['waiting', 'active'], max_connections: 64 },
     limits: { write_stall: '5s', head_timeout: '3s', max_retry_after: '1s' },
-    rules: { answer_slack: '16ms', cold_from: 0.25, cold_span: '8s', fall_multiple: 1.5, fall_span: '1s' },
+    rules: { answer_slack: '16ms', cold_from: 0.25, cold_span: '8s', fall_multiple: 1.1, fall_span: '1s' },
   },
   servers:: [
     {
@@ -35,7 +35,7 @@
       queue: 30,
       cold_from: 0.25,
       cold_span: '8s',
-      fall_multiple: 1.5,
+      fall_multiple: 1.1,
       fall_span: '1s',
     }
     for i in std.range(0, 8)
--- a/cli/src/main/resources/days/short-day.jsonnet
+++ b/cli/src/main/resources/days/short-day.jsonnet
@@ -6,7 +6,7 @@
   length: '14s',
   customers: [
     { name: 'basic', count: 30, plan: 'basic', rate: 1.2 },
-    { name: 'standard', count: 16, plan: 'standard', rate: 5 },
+    { name: 'standard', count: 24, plan: 'standard', rate: 5 },
     { name: 'metered', count: 4, plan: 'metered', rate: 3 },
   ],
   troubles: [
--- a/edge/src/main/java/thistlefall/edge/host/Attempt.java
+++ b/edge/src/main/java/thistlefall/edge/host/Attempt.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import thistlefall.Ports.Outcome;
@@ -27,6 +28,8 @@
     }
 
     private static final long ANSWER_STALL = 30_000_000_000L;
+    /** Answers up to this size are passed on when they are whole: one that breaks off may still be tried again. */
+    private static final long HELD_WHOLE = 16 * 1024;
 
     private final Front front;
     private final Exchange exchange;
@@ -36,6 +39,8 @@
     private Progress progress = Progress.WAITING;
     private ServerConnection connection;
     private Head.Response head;
+    private final List<ByteBuf> held = new ArrayList<>(2);
+    private boolean holding;
     private boolean passing;
     private boolean paused;
     private boolean over;
@@ -100,6 +105,11 @@
 
     @Override
     public void piece(ByteBuf piece) {
+        if (connection == null) {
+            // The connection broke under what was written just now.
+            piece.release();
+            return;
+        }
         Channel channel = connection.channel();
         if (exchange.head.framing().kind() == Framing.Kind.CHUNKED && piece.isReadable()) {
             channel.write(HttpWriter.chunkSize(channel.alloc(), piece.readableBytes()));
@@ -112,6 +122,9 @@
 
     @Override
     public void end(Fields trailers) {
+        if (connection == null) {
+            return;
+        }
         Channel channel = connection.channel();
         if (exchange.head.framing().kind() == Framing.Kind.CHUNKED) {
             channel.write(HttpWriter.lastChunk(channel.alloc(), trailers));
@@ -134,19 +147,32 @@
     public void head(Head.Response came) {
         head = came;
         progress = Progress.ANSWERED;
-        boolean good = came.status() < 500 && !unseen();
-        if (good && front.answered(exchange)) {
+        if (came.status() >= 500 || unseen()) {
+            return;
+        }
+        Framing framing = came.framing();
+        holding = framing.kind() == Framing.Kind.NONE
+            || framing.kind() == Framing.Kind.LENGTH && framing.length() <= HELD_WHOLE;
+        if (!holding) {
+            pass();
+        }
+    }
+
+    private void pass() {
+        if (front.answered(exchange)) {
             passing = true;
             front.timers().cancel(timer);
             // An answer that has begun is bound by no deadline, but must go on.
             timer = front.timers().after(ANSWER_STALL, () -> end(End.CLOSED));
-            exchange.client.begin(exchange, came);
+            exchange.client.begin(exchange, head);
         }
     }
 
     @Override
     public void body(ByteBuf piece) {
-        if (!passing) {
+        if (holding) {
+            held.add(piece);
+        } else if (!passing) {
             piece.release();
         } else if (!exchange.client.piece(piece) && !paused) {
             paused = true;
@@ -168,7 +194,12 @@
     public void whole(Fields trailers) {
         connection = null;
         progress = Progress.COMPLETE;
+        if (holding) {
+            pass();
+        }
         if (passing) {
+            held.forEach(exchange.client::piece);
+            held.clear();
             exchange.client.end(exchange, trailers);
         }
         end(End.ANSWER);
@@ -203,6 +234,8 @@
             return;
         }
         over = true;
+        held.forEach(ByteBuf::release);
+        held.clear();
         front.timers().cancel(timer);
         exchange.body.detach();
         if (connection != null) {
--- a/edge/src/main/java/thistlefall/edge/upstream/Call.java
+++ b/edge/src/main/java/thistlefall/edge/upstream/Call.java
@@ -22,7 +22,7 @@
      * What came back.
      *
      * @param end {@link End#ANSWER}, or why there is none
-     * @param status the status; 0 without an answer
+     * @param status the status; 0 if no head of an answer came
      * @param fields the answer's fields
      * @param body its body
      */
@@ -155,7 +155,7 @@
             connection.abandon();
         }
         done.reply(how == End.ANSWER ? new Reply(how, head.status(), head.fields(), answer.toByteArray())
-            : new Reply(how, 0, Fields.NONE, new byte[0]));
+            : new Reply(how, head == null ? 0 : head.status(), Fields.NONE, new byte[0]));
     }
 
     /** Nanoseconds since it was sent. */
--- a/standin/src/main/java/thistlefall/standin/check/ColdRule.java
+++ b/standin/src/main/java/thistlefall/standin/check/ColdRule.java
@@ -60,8 +60,8 @@
             server.fromInformed -= server.informed.contains(old.node()) ? old.work() : 0;
         }
         double seconds = facts.fallSpan() / 1e9;
-        // Half a second's work of the warm server is left to chance.
-        double budget = facts.fallMultiple() * line.capacity() * seconds + line.capacity() / 2;
+        // A quarter of a second's work is left to chance.
+        double budget = facts.fallMultiple() * line.capacity() * seconds + line.capacity() / 4;
         if (server.work > budget && server.fromInformed > server.work * 2 / 3) {
             server.fell = true;
             broken(line, String.format(java.util.Locale.ROOT, "%s, cold for %d ms, was sent %.2f s of work in %.1f s and "
--- a/standin/src/main/java/thistlefall/standin/day/Rehearsal.java
+++ b/standin/src/main/java/thistlefall/standin/day/Rehearsal.java
@@ -94,7 +94,7 @@
         List<Verdict> verdicts = Checkers.check(lines, facts(day, stage.nodeSettings(0)));
         long requests = lines.stream().filter(l -> l.event().equals("ask")).count();
         Map<String, Long> answers = new LinkedHashMap<>();
-        for (String kind : List.of("served", "refused", "failed", "denied", "invalid", "unreached", "lost", "gave-up")) {
+        for (String kind : List.of("served", "refused", "failed", "denied", "invalid", "unreached", "lost", "gave-up", "cut")) {
             answers.put(kind, lines.stream().filter(l -> l.event().equals("answer") && kind.equals(l.outcome())).count());
         }
         return new Result(day, seed, via, requests, answers, verdicts.get(0).broken(), verdicts, figures(stage, lines),
--- a/standin/src/main/java/thistlefall/standin/load/LoadClients.java
+++ b/standin/src/main/java/thistlefall/standin/load/LoadClients.java
@@ -166,6 +166,9 @@
         if (reply.end() == End.OVERDUE) {
             return "gave-up";
         }
+        if (reply.end() != End.ANSWER && reply.status() > 0) {
+            return "cut";
+        }
         if (reply.end() != End.ANSWER) {
             return switch (reply.end()) {
                 case REFUSED, CONNECT_OVERDUE, NO_PLACE -> "unreached";
