--- a/cli/src/main/java/thistlefall/cli/StandinCommand.java
+++ b/cli/src/main/java/thistlefall/cli/StandinCommand.java
@@ -63,7 +63,7 @@
             @Option(names = "--work", paramLabel = "PATH=MS", required = true) Map<String, Double> work)
         throws InterruptedException {
         var spec = new AppSpec("app", null, 0, "kind", cores, 1, queue, 0.25, Duration.ofSeconds(10), 4,
-            Duration.ofSeconds(1));
+            Duration.ofSeconds(1), false);
         Map<String, KeyMemory> memories = new ConcurrentHashMap<>();
         var server = new AppServer(loop, null, spec, new Trace(), path -> !work.containsKey(path) ? null
             : new AppServer.Work(path.substring(1), work.get(path) / 1e3, 0, "all"),
--- a/cli/src/main/resources/days/bad-day.jsonnet
+++ b/cli/src/main/resources/days/bad-day.jsonnet
@@ -18,6 +18,7 @@
     { name: 'slow', at: '24s', len: '6s', part: 0.2, size: 5 },
     { name: 'preempt', at: '30s', len: '4s', part: 0.3 },
     { name: 'drain', at: '28s', len: '8s', part: 0.2 },
+    { name: 'grow', at: '34s' },
     { name: 'zone_cut', at: '38s', len: '5s', target: 'hall-c' },
     { name: 'balancer_crash', at: '44s', len: '3s', target: 'edge-1' },
     { name: 'balancer_stall', at: '50s', len: '2s', target: 'edge-2' },
--- a/core/src/main/java/thistlefall/token/TokenDesk.java
+++ b/core/src/main/java/thistlefall/token/TokenDesk.java
@@ -236,6 +236,9 @@
 
     /** A known token's refresh failed, or there is no time for one: honoured for a while, else nobody knows. */
     private Verdict withoutWord(long now, Entry entry, String reason) {
+        if (entry != null && entry.expired(now)) {
+            return new Verdict.Deny();
+        }
         return entry != null && entry.honoured(now) ? new Verdict.Admit(entry.grant, true)
             : new Verdict.Unknown(reason);
     }
--- a/edge/src/main/java/thistlefall/edge/host/Attempt.java
+++ b/edge/src/main/java/thistlefall/edge/host/Attempt.java
@@ -122,15 +122,17 @@
 
     @Override
     public void end(Fields trailers) {
-        if (connection == null) {
+        // Writing may break the connection, and this attempt with it.
+        ServerConnection to = connection;
+        if (to == null) {
             return;
         }
-        Channel channel = connection.channel();
+        Channel channel = to.channel();
         if (exchange.head.framing().kind() == Framing.Kind.CHUNKED) {
             channel.write(HttpWriter.lastChunk(channel.alloc(), trailers));
         }
         channel.flush();
-        connection.requestWritten();
+        to.requestWritten();
     }
 
     @Override
--- a/standin/src/main/java/thistlefall/standin/app/AppSpec.java
+++ b/standin/src/main/java/thistlefall/standin/app/AppSpec.java
@@ -16,7 +16,9 @@
  * @param coldSpan it is warm after this
  * @param fallMultiple sent more than this many times its present capacity while cold
  * @param fallSpan for this long, it falls over
+ * @param standby it is down, and on no list, until a script lets the fleet grow
  */
 public record AppSpec(String id, String zone, int cell, String kind, int cores, double speed, int queue,
-                      double coldFrom, Duration coldSpan, double fallMultiple, Duration fallSpan) {
+                      double coldFrom, Duration coldSpan, double fallMultiple, Duration fallSpan,
+                      boolean standby) {
 }
--- a/standin/src/main/java/thistlefall/standin/day/Stage.java
+++ b/standin/src/main/java/thistlefall/standin/day/Stage.java
@@ -83,7 +83,13 @@
         counter.listen(HOST, 0);
         list = new ListServer(serviceLoop, network, home, trace, this::nodeAt);
         list.listen(HOST, 0);
-        servers.values().forEach(server -> list(server, "ready", 0));
+        for (AppServer server : servers.values()) {
+            if (server.spec().standby()) {
+                server.die();
+            } else {
+                list(server, "ready", 0);
+            }
+        }
         tokens = new Tokens(introspection, scopes(day));
         nuisance = new Nuisance(clientLoop);
         List<InetSocketAddress> addresses = new ArrayList<>();
--- a/standin/src/main/java/thistlefall/standin/day/Troubles.java
+++ b/standin/src/main/java/thistlefall/standin/day/Troubles.java
@@ -54,6 +54,8 @@
             server -> server.silentLoad(false)));
         KINDS.put("preempt", (p, t, r) -> p.preempt(t, r));
         KINDS.put("drain", (p, t, r) -> p.drain(t, r));
+        KINDS.put("grow", (p, t, r) -> p.stage.servers.values().stream().filter(s -> s.spec().standby())
+            .forEach(p::back));
         KINDS.put("shrink", (p, t, r) -> p.drain(t, r));
         KINDS.put("zone_cut", (p, t, r) -> p.spell(t, () -> p.stage.network.cut(t.target()),
             () -> p.stage.network.mend(t.target())));
@@ -136,7 +138,7 @@
         if (trouble.target() != null) {
             return List.of(stage.servers.get(trouble.target()));
         }
-        return part(new ArrayList<>(stage.servers.values()), trouble.part(), random);
+        return part(new ArrayList<>(stage.servers.values().stream().filter(s -> !s.spec().standby()).toList()), trouble.part(), random);
     }
 
     private static <T> List<T> part(List<T> all, double part, SplittableRandom random) {
--- a/standin/src/main/java/thistlefall/standin/load/Nuisance.java
+++ b/standin/src/main/java/thistlefall/standin/load/Nuisance.java
@@ -89,12 +89,12 @@
 
     /** A client that asks for much and reads a kilobyte every tenth of a second, for a while. */
     public void slowReader(InetSocketAddress node, String path, String token, long forMs) {
-        slow.incrementAndGet();
+        int number = slow.incrementAndGet();
         connect(node, new ChannelInboundHandlerAdapter() {
             @Override
             public void channelActive(ChannelHandlerContext context) {
                 context.writeAndFlush(bytes("GET " + path + " HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer " + token
-                    + "\r\nWant-Bytes: 4000000\r\nRequest-Id: slow-" + slow.get() + "\r\n\r\n"));
+                    + "\r\nWant-Bytes: 4000000\r\nRequest-Id: slow-" + number + "\r\n\r\n"));
                 sip(context.channel());
                 loop.schedule(() -> context.close(), forMs, TimeUnit.MILLISECONDS);
             }
