--- a/cli/src/main/java/thistlefall/cli/RehearseCommand.java
+++ b/cli/src/main/java/thistlefall/cli/RehearseCommand.java
@@ -52,7 +52,7 @@
 
     @Option(names = "--break", paramLabel = "FAULT", converter = FaultConverter.class,
         description = "plants a fault in the nodes, to see it caught: lose-answers, false-proof, deaf-to-drains, "
-            + "cold-as-warm, no-ceiling")
+            + "cold-first, no-ceiling")
     private Fault fault;
 
     @Override
--- a/edge/src/main/java/thistlefall/edge/host/Fault.java
+++ b/edge/src/main/java/thistlefall/edge/host/Fault.java
@@ -8,8 +8,8 @@
     FALSE_PROOF(2),
     /** Rule 3: word that a server drains or is gone is kept from the module. */
     DEAF_TO_DRAINS(3),
-    /** Rule 4: every server is told to the module as started long ago. */
-    COLD_AS_WARM(4),
+    /** Rule 4: whatever the module chose, requests go to the server that started last, as long as it is cold. */
+    COLD_FIRST(4),
     /** Rule 5: the module is told of no ceiling. */
     NO_CEILING(5);
 
--- a/edge/src/main/java/thistlefall/edge/host/Front.java
+++ b/edge/src/main/java/thistlefall/edge/host/Front.java
@@ -348,7 +348,7 @@
         int number = exchange.entry.attempts() - 1;
         boolean tokenDied = number > 0
             && desk.standing(now(), exchange.key) == TokenDesk.Standing.DEAD;
-        ServerPool pool = upstreams.pool(server);
+        ServerPool pool = upstreams.pool(faults.contains(Fault.COLD_FIRST) ? coldFirst(server) : server);
         if (tokenDied || pool == null || number > 0 && !exchange.body.replayable()) {
             ledger.ended(exchange.entry, Outcome.NOT_SENT);
             notSent(exchange, server, number);
@@ -545,9 +545,11 @@
                 loop.schedule(() -> list(index, listed), 3_100, TimeUnit.MILLISECONDS);
             }
         }
-        upstreams.list(roster.servers());
+        if (!faults.contains(Fault.DEAF_TO_DRAINS)) {
+            upstreams.list(roster.servers());
+        }
         if (change.kind() != null) {
-            List<Server> told = change.entries().stream().map(this::asTold)
+            List<Server> told = change.entries().stream()
                 .filter(server -> !faults.contains(Fault.DEAF_TO_DRAINS) || server.readiness() == Readiness.READY)
                 .toList();
             Ports.ListKind kind = faults.contains(Fault.DEAF_TO_DRAINS) ? Ports.ListKind.DELTA : change.kind();
@@ -555,9 +557,11 @@
         }
     }
 
-    private Server asTold(Server server) {
-        return faults.contains(Fault.COLD_AS_WARM) ? new Server(server.id(), server.size(), server.zone(),
-            server.cell(), server.kind(), server.readiness(), 0) : server;
+    /** Planted: the server that started last, while it is cold; else the one chosen. */
+    private String coldFirst(String chosen) {
+        long coldSince = now() - moduleSettings.rules().coldSpan();
+        return roster.servers().stream().filter(s -> s.startedAt() > coldSince && roster.ready(s.id()))
+            .max(Comparator.comparingLong(Server::startedAt)).map(Server::id).orElse(chosen);
     }
 
     @Override
--- a/edge/src/main/java/thistlefall/edge/http/MessageDecoder.java
+++ b/edge/src/main/java/thistlefall/edge/http/MessageDecoder.java
@@ -39,6 +39,7 @@
             read(in, out);
         } catch (Malformed malformed) {
             state = State.BROKEN;
+            in.skipBytes(in.readableBytes());
             out.add(malformed);
         }
     }
--- a/standin/src/main/java/thistlefall/standin/app/AppServer.java
+++ b/standin/src/main/java/thistlefall/standin/app/AppServer.java
@@ -181,7 +181,8 @@
             return;
         }
         if (random.nextDouble() < failing) {
-            trace.add(line("ran", inbound, work, guess).outcome("error"));
+            // It fails after the fact: its group knows the key from now on.
+            trace.add(line(remember(inbound, work) ? "ran" : "dropped", inbound, work, guess).outcome("error"));
             inbound.answer(500, Map.of("Content-Type", "text/plain"), "error\n".getBytes(StandardCharsets.UTF_8));
             return;
         }
@@ -233,12 +234,8 @@
 
     private void run(Job job) {
         Inbound inbound = job.inbound;
-        String key = inbound.field("idempotency-key");
-        String group = group(job.work);
-        boolean keyed = job.work.keyWindow() > 0 && !key.isEmpty();
-        boolean first = !keyed || memories.apply(group).first(key, System.nanoTime(), job.work.keyWindow());
-        trace.add(line(first ? "ran" : "dropped", inbound, job.work, job.units).key(keyed ? key : null,
-            keyed ? group : null));
+        boolean first = remember(inbound, job.work);
+        trace.add(line(first ? "ran" : "dropped", inbound, job.work, job.units));
         double seconds = first ? job.cost / spec.speed() / warmth() * slow : 0.001;
         int of = life;
         loop().schedule(() -> {
@@ -250,6 +247,13 @@
         }, (long) (seconds * 1e9), TimeUnit.NANOSECONDS);
     }
 
+    /** Whether the request may take effect: it has no key, or one that its group has not seen. */
+    private boolean remember(Inbound inbound, Work work) {
+        String key = inbound.field("idempotency-key");
+        return work.keyWindow() <= 0 || key.isEmpty()
+            || memories.apply(group(work)).first(key, System.nanoTime(), work.keyWindow());
+    }
+
     private void finish(Job job) {
         Map<String, String> fields = loadFields();
         fields.put("Request-Units", Long.toString((long) job.units));
@@ -276,7 +280,9 @@
     private Trace.Line line(String event, Inbound inbound, Work work, double units) {
         String via = inbound.field("via");
         String id = inbound.field("request-id");
-        return trace.line("server", event).request(id, inbound.field("request-op"),
+        boolean keyed = work.keyWindow() > 0 && !inbound.field("idempotency-key").isEmpty();
+        return trace.line("server", event).key(keyed ? inbound.field("idempotency-key") : null,
+            keyed ? group(work) : null).request(id, inbound.field("request-op"),
             (int) number(inbound.field("request-attempt"), 0))
             .between(via.startsWith("1.1 ") ? via.substring(4) : via, spec.id())
             .of(work.cls(), inbound.field("request-customer"), null, units);
--- a/standin/src/main/java/thistlefall/standin/day/Stage.java
+++ b/standin/src/main/java/thistlefall/standin/day/Stage.java
@@ -95,15 +95,10 @@
         List<InetSocketAddress> addresses = new ArrayList<>();
         List<String> names = new ArrayList<>();
         for (int i = 0; i < day.nodes(); i++) {
-            NodeSettings settings = settings(i, freePort());
-            nodeSettings.add(settings);
-            network.place(settings.node().sourceAddress(), settings.node().zone());
+            NodeSettings settings = startNew(i);
             addresses.add(new InetSocketAddress(HOST, settings.listen().port()));
             names.add(settings.node().name());
         }
-        for (int i = 0; i < day.nodes(); i++) {
-            nodes.add(runner.start(nodeSettings.get(i), random.nextLong(), faults));
-        }
         clients = new LoadClients(clientLoop, trace, addresses, names, day.settings().classes(), tokens,
             day.retries(), day.backOff().toNanos());
     }
@@ -120,6 +115,25 @@
             .collect(Collectors.joining(" "));
     }
 
+    /** Starts a node at a port that was free just now; another process may have been quicker. */
+    private NodeSettings startNew(int i) throws IOException {
+        long seed = random.nextLong();
+        for (int tries = 1;; tries++) {
+            NodeSettings settings = settings(i, freePort());
+            network.place(settings.node().sourceAddress(), settings.node().zone());
+            nodeSettings.add(settings);
+            try {
+                nodes.add(runner.start(settings, seed, faults));
+                return settings;
+            } catch (IOException e) {
+                nodeSettings.remove(i);
+                if (tries == 5) {
+                    throw e;
+                }
+            }
+        }
+    }
+
     private static int freePort() throws IOException {
         try (ServerSocket socket = new ServerSocket(0)) {
             return socket.getLocalPort();
