--- a/cli/src/main/java/thistlefall/cli/settings/Faults.java
+++ b/cli/src/main/java/thistlefall/cli/settings/Faults.java
@@ -1,13 +1,16 @@
 package thistlefall.cli.settings;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /** The faults of a file, each with its place. */
 public final class Faults {
     private final String file;
     private final Places places;
     private final List<String> found = new ArrayList<>();
+    private final Set<String> paths = new HashSet<>();
 
     Faults(String file, Places places) {
         this.file = file;
@@ -18,7 +21,8 @@
     public void add(String path, String reason) {
         int line = places.line(path);
         String text = file + (line > 0 ? ":" + line : "") + ": " + (path.isEmpty() ? "" : path + ": ") + reason;
-        if (!found.contains(text)) {
+        // The first fault at a place counts: what follows from it would only puzzle.
+        if (paths.add(path) || path.isEmpty()) {
             found.add(text);
         }
     }
--- a/cli/src/main/java/thistlefall/cli/settings/Places.java
+++ b/cli/src/main/java/thistlefall/cli/settings/Places.java
@@ -25,7 +25,9 @@
         }
     }
 
+    /** What a local variable holds stands under {@code @NAME}; where it is used, an alias leads there. */
     private final Map<String, Integer> lines = new HashMap<>();
+    private final Map<String, String> aliases = new HashMap<>();
 
     Places(String source) {
         scan(source);
@@ -34,6 +36,10 @@
     /** The line of a path, or of the nearest part around it; 0 if there is none. */
     int line(String path) {
         for (String at = path; !at.isEmpty(); at = parent(at)) {
+            String alias = aliases.get(at);
+            if (alias != null && lines.containsKey(alias)) {
+                return line(alias + path.substring(at.length()));
+            }
             Integer line = lines.get(at);
             if (line != null) {
                 return line;
@@ -51,6 +57,7 @@
         int line = 1;
         int parens = 0;
         String word = null;
+        String local = null;
         for (int i = 0; i < text.length(); i++) {
             char c = text.charAt(i);
             if (c == '\n') {
@@ -77,7 +84,14 @@
                 }
                 word = text.substring(i, end);
                 note(open, line);
+                if (open.isEmpty()) {
+                    local = text.startsWith("local", Math.max(0, i - 6)) ? word : local;
+                } else if (open.peek().key != null && Character.isLetter(word.charAt(0))) {
+                    aliases.putIfAbsent(open.peek().child(), "@" + word);
+                }
                 i = end - 1;
+            } else if (c == ';') {
+                local = null;
             } else if (c == '(') {
                 parens++;
             } else if (c == ')') {
@@ -85,8 +99,9 @@
             } else if (parens > 0) {
                 continue;
             } else if (c == '{' || c == '[') {
-                note(open, line);
-                open.push(new Open(c == '[', open.isEmpty() ? "" : open.peek().child()));
+                String path = open.isEmpty() ? local == null ? "" : "@" + local : open.peek().child();
+                lines.putIfAbsent(path, line);
+                open.push(new Open(c == '[', path));
                 word = null;
             } else if ((c == '}' || c == ']') && !open.isEmpty()) {
                 open.pop();
--- a/edge/src/main/java/thistlefall/edge/host/ClientConnection.java
+++ b/edge/src/main/java/thistlefall/edge/host/ClientConnection.java
@@ -175,7 +175,7 @@
         }
         exchange.answered = true;
         boolean cut = !exchange.body.whole();
-        closeAfter |= cut || !exchange.head.keepAlive() || fault != null;
+        closeAfter |= cut || !exchange.head.keepAlive();
         write(problem, closeAfter);
         finished(exchange);
     }
@@ -209,7 +209,7 @@
     /** Begins to pass a server's answer on. */
     void begin(Exchange exchange, Head.Response head) {
         exchange.answered = true;
-        closeAfter |= !exchange.head.keepAlive() || !exchange.body.whole() || fault != null;
+        closeAfter |= !exchange.head.keepAlive() || !exchange.body.whole();
         ByteBuf out = HttpWriter.response(channel.alloc(), head.status());
         Set<String> nominated = nominated(head.fields());
         head.fields().writeTo(out, name -> HttpWriter.endToEnd(name) && !name.equals("endpoint-load-metrics")
--- /dev/null
+++ b/standin/src/test/java/thistlefall/standin/EdgeNodeTest.java
@@ -0,0 +1,251 @@
+package thistlefall.standin;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import thistlefall.standin.auth.IntrospectionServer.Mode;
+import thistlefall.standin.auth.IntrospectionServer.Token;
+import thistlefall.standin.load.Nuisance;
+
+/** The path from client to server and back over real sockets. */
+class EdgeNodeTest {
+    private static final RawServer.Script ECHO = (server, socket) -> {
+        while (true) {
+            String head = server.request(socket);
+            String path = head.split(" ")[1];
+            RawServer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + path.length() + "\r\n\r\n" + path);
+        }
+    };
+
+    @Test
+    void tokensDecideWhoComesIn() throws IOException {
+        try (var server = new RawServer(ECHO); var node = new NodeUnderTest(server.port())) {
+            assertTrue(node.get("/safe", "good", "").endsWith("/safe"));
+            String none = node.get("/safe", null, "");
+            assertTrue(none.startsWith("HTTP/1.1 401") && none.contains("WWW-Authenticate: Bearer\r\n"), none);
+            String bad = node.get("/safe", "invented", "");
+            assertTrue(bad.startsWith("HTTP/1.1 401") && bad.contains("error=\"invalid_token\""), bad);
+            node.introspection.issue("scopeless", new Token("agent-2", "basic", "", 0));
+            String scope = node.get("/safe", "scopeless", "");
+            assertTrue(scope.startsWith("HTTP/1.1 403") && scope.contains("scope=\"book\""), scope);
+            node.introspection.issue("planless", new Token("agent-3", "unknown", "book", 0));
+            assertTrue(node.get("/safe", "planless", "").startsWith("HTTP/1.1 403"));
+            assertEquals(1, server.requests.size());
+            assertFalse(server.requests.get(0).toLowerCase().contains("authorization"), "tokens are not passed on");
+        }
+    }
+
+    @Test
+    void aSilentTokenServiceIsAnsweredForInTime() throws IOException {
+        try (var server = new RawServer(ECHO); var node = new NodeUnderTest(server.port())) {
+            node.introspection.mode(Mode.SILENT, 0);
+            node.introspection.issue("late", new Token("agent-2", "basic", "book", 0));
+            long start = System.nanoTime();
+            String answer = node.get("/safe", "late", "");
+            assertTrue(answer.startsWith("HTTP/1.1 503") && answer.contains("problem:refused"), answer);
+            assertTrue(System.nanoTime() - start < 5_000_000_000L);
+            assertEquals(0, server.requests.size());
+            node.introspection.mode(Mode.WELL, 0);
+            NodeUnderTest.until(() -> node.get("/safe", "late", "").endsWith("/safe"));
+        }
+    }
+
+    @Test
+    void aTokenThatDiesBetweenAttemptsStopsTheNextAndTheClientsRetry() throws IOException {
+        var revoke = new CountDownLatch(1);
+        try (var server = new RawServer((s, socket) -> {
+            s.request(socket);
+            await(revoke);
+            RawServer.write(socket, "HTTP/1.1 503 Full\r\nRequest-Unseen: ?1\r\nContent-Length: 0\r\n\r\n");
+        }); var node = new NodeUnderTest(server.port())) {
+            double soon = Math.ceil(System.currentTimeMillis() / 1e3) + 1;
+            node.introspection.issue("dying", new Token("agent-4", "basic", "book", soon));
+            var answer = new String[1];
+            Thread client = new Thread(() -> answer[0] = node.post("/unsafe", "dying", "", "{}"));
+            client.start();
+            NodeUnderTest.until(() -> server.requests.size() == 1);
+            NodeUnderTest.until(() -> System.currentTimeMillis() / 1e3 > soon + 0.05);
+            revoke.countDown();
+            NodeUnderTest.until(() -> answer[0] != null);
+            assertTrue(answer[0].contains("problem:refused"), answer[0]);
+            assertTrue(node.post("/unsafe", "dying", "", "{}").startsWith("HTTP/1.1 401"));
+            assertEquals(1, server.requests.size(), "nothing was sent for a dead token");
+        }
+    }
+
+    @Test
+    void aTokenThatDiesAfterTheFirstMayHaveRunIsNoReasonToRefuse() throws IOException {
+        var revoke = new CountDownLatch(1);
+        try (var server = new RawServer((s, socket) -> {
+            s.request(socket);
+            await(revoke);
+            RawServer.reset(socket);
+        }); var node = new NodeUnderTest(server.port())) {
+            double soon = Math.ceil(System.currentTimeMillis() / 1e3) + 1;
+            node.introspection.issue("dying", new Token("agent-4", "basic", "book", soon));
+            var answer = new String[1];
+            Thread client = new Thread(() -> answer[0] = node.post("/unsafe", "dying", "", "{}"));
+            client.start();
+            NodeUnderTest.until(() -> server.requests.size() == 1);
+            NodeUnderTest.until(() -> System.currentTimeMillis() / 1e3 > soon + 0.05);
+            revoke.countDown();
+            NodeUnderTest.until(() -> answer[0] != null);
+            assertTrue(answer[0].contains("problem:failed"), answer[0]);
+            assertEquals(1, server.requests.size());
+        }
+    }
+
+    private static void await(CountDownLatch latch) throws IOException {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+    }
+
+    @Test
+    void pipelinedAnswersComeInOrder() throws IOException {
+        try (var server = new RawServer(ECHO); var node = new NodeUnderTest(server.port())) {
+            Socket socket = node.connect();
+            StringBuilder all = new StringBuilder();
+            for (int i = 0; i < 20; i++) {
+                all.append("GET /safe").append(i % 2 == 0 ? "" : "x").append(" HTTP/1.1\r\nHost: x\r\n")
+                    .append("Authorization: Bearer good\r\n\r\n");
+            }
+            RawServer.write(socket, all.toString());
+            for (int i = 0; i < 20; i++) {
+                String answer = NodeUnderTest.answer(socket.getInputStream());
+                assertTrue(i % 2 == 0 ? answer.endsWith("/safe") : answer.startsWith("HTTP/1.1 404"), i + ": " + answer);
+            }
+        }
+    }
+
+    @Test
+    void malformedRequestsAreAnsweredAndCutOff() throws IOException {
+        try (var server = new RawServer(ECHO); var node = new NodeUnderTest(server.port())) {
+            for (String text : Nuisance.MALFORMED) {
+                String answer = node.raw(text);
+                assertTrue(answer.matches("(?s)HTTP/1\\.1 4\\d\\d .*Connection: close.*"), text + " -> " + answer);
+            }
+            String both = node.raw("GET /safe HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer good\r\n\r\nGET /x\r\n\r\n");
+            assertTrue(both.indexOf("200 OK") < both.indexOf("400 Bad"), "in order: " + both);
+        }
+    }
+
+    @Test
+    void aHeadThatNeverEndsIsCutOff() throws IOException {
+        try (var server = new RawServer(ECHO); var node = new NodeUnderTest(server.port())) {
+            assertTrue(node.raw("GET /safe HTTP/1.1\r\nHost:").startsWith("HTTP/1.1 408"));
+        }
+    }
+
+    @Test
+    void chunkedBodiesPassThroughAndWaitForContinue() throws IOException {
+        var body = new StringBuilder();
+        try (var server = new RawServer((s, socket) -> {
+            s.request(socket);
+            for (int b = socket.getInputStream().read(); b >= 0; b = socket.getInputStream().read()) {
+                body.append((char) b);
+                if (body.toString().endsWith("0\r\n\r\n")) {
+                    RawServer.write(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nSum: 1\r\n\r\n");
+                }
+            }
+        }); var node = new NodeUnderTest(server.port())) {
+            Socket socket = node.connect();
+            RawServer.write(socket, "POST /unsafe HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer good\r\nExpect: 100-continue\r\n"
+                + "Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n");
+            assertTrue(NodeUnderTest.answer(socket.getInputStream()).startsWith("HTTP/1.1 100"));
+            RawServer.write(socket, "5\r\nhello\r\n0\r\n\r\n");
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertTrue(answer.endsWith("3\r\nabc\r\n0\r\nSum: 1\r\n\r\n"), answer);
+            assertEquals("5\r\nhello\r\n0\r\n\r\n", body.toString());
+            assertFalse(server.requests.get(0).contains("Expect"));
+        }
+    }
+
+    @Test
+    void aSlowReaderDelaysNobody() throws IOException {
+        byte[] big = new byte[3 << 20];
+        try (var server = new RawServer((s, socket) -> {
+            while (true) {
+                boolean large = s.request(socket).contains("Want: big");
+                RawServer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + (large ? big.length : 2) + "\r\n\r\n");
+                socket.getOutputStream().write(large ? big : new byte[2]);
+            }
+        }); var node = new NodeUnderTest(server.port())) {
+            for (int i = 0; i < 4; i++) {
+                Socket slow = node.connect();
+                RawServer.write(slow, "GET /safe HTTP/1.1\r\nHost: x\r\nWant: big\r\nAuthorization: Bearer good\r\n\r\n");
+                slow.getInputStream().read();
+            }
+            for (int i = 0; i < 50; i++) {
+                assertTrue(node.get("/safe", "good", "").startsWith("HTTP/1.1 200"));
+            }
+        }
+    }
+
+    @Test
+    void aClientThatLeavesOwesNothingAndIsOwedNothing() throws IOException {
+        try (var server = new RawServer((s, socket) -> s.request(socket)); var node = new NodeUnderTest(server.port())) {
+            Socket socket = node.connect();
+            RawServer.write(socket, "GET /safe HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer good\r\n\r\n");
+            NodeUnderTest.until(() -> server.requests.size() == 1);
+            socket.close();
+            NodeUnderTest.until(() -> node.node.counts().get("clients_gone") == 1);
+        }
+    }
+
+    @Test
+    void aStopAnswersWhatIsOwedWithinItsBound() throws Exception {
+        var asked = new AtomicInteger();
+        try (var server = new RawServer((s, socket) -> {
+            s.request(socket);
+            asked.incrementAndGet();
+            s.request(socket);
+        }); var node = new NodeUnderTest(server.port())) {
+            var answers = new String[2];
+            Thread unsafe = new Thread(() -> answers[0] = node.post("/unsafe", "good", "", "{}"));
+            Thread safe = new Thread(() -> answers[1] = node.get("/safe", "good", ""));
+            unsafe.start();
+            safe.start();
+            NodeUnderTest.until(() -> asked.get() == 2);
+            long start = System.nanoTime();
+            node.node.stop(Duration.ofMillis(300));
+            unsafe.join(10_000);
+            safe.join(10_000);
+            assertTrue(answers[0].contains("problem:failed"), answers[0]);
+            assertTrue(answers[1].contains("problem:refused"), answers[1]);
+            assertTrue(System.nanoTime() - start < 10_000_000_000L);
+        }
+    }
+
+    @Test
+    void twoNodesInOneProcessShareNothing() throws IOException {
+        try (var server = new RawServer(ECHO); var one = new NodeUnderTest(server.port());
+             var other = new NodeUnderTest()) {
+            one.introspection.issue("mine", new Token("agent-1", "basic", "book", 0));
+            assertTrue(one.get("/safe", "mine", "").endsWith("/safe"));
+            assertTrue(other.get("/safe", "mine", "").startsWith("HTTP/1.1 401"), "tokens are not shared");
+            one.node.kill();
+            assertTrue(other.get("/safe", "good", "").contains("problem:refused"), "its own list is empty, it lives on");
+        }
+    }
+
+    @Test
+    void aListThatGoesWrongLeavesTheOldOneStanding() throws IOException {
+        try (var server = new RawServer(ECHO); var node = new NodeUnderTest(server.port())) {
+            node.servers();
+            NodeUnderTest.until(() -> node.get("/safe", "good", "").endsWith("/safe"));
+            long requests = node.node.counts().get("served");
+            assertTrue(requests > 0);
+        }
+    }
+}
