--- a/edge/src/main/java/thistlefall/edge/host/Front.java
+++ b/edge/src/main/java/thistlefall/edge/host/Front.java
@@ -77,6 +77,8 @@
     private final Set<ClientConnection> clients = new HashSet<>();
     private final Map<Exchange, Request> afterStall = new HashMap<>();
     private final NodeCounts counts = new NodeCounts();
+    private final int logEvery;
+    private long answers;
     private long nextWaiter;
     private long observedAt;
     private boolean draining;
@@ -94,6 +96,7 @@
         var random = new SplittableRandom(options.seed());
         var limits = Defaults.limits(settings);
         HttpLimits http = Defaults.http(limits);
+        logEvery = limits.logEvery();
         String life = settings.node().name() + "-" + Long.toString(timeline.at(mono) / 1_000_000, 36) + "-";
         ledger = new Ledger(life, limits.maxOpen(), LEDGER_GUARD, mono);
         desk = new TokenDesk(Defaults.desk(settings.introspection()), random.nextLong(), now(), this);
@@ -432,9 +435,23 @@
         }
         boolean first = ledger.answer(exchange.entry, Answer.SERVED) != null;
         counts.served += first ? 1 : 0;
+        if (first) {
+            logAnswer(exchange, Answer.SERVED);
+        }
         return first;
     }
 
+    /** Writes down one request in some; the log's own thread does the writing. */
+    private void logAnswer(Exchange exchange, Answer answer) {
+        if (logEvery > 0 && ++answers % logEvery == 0) {
+            log.atInfo().addKeyValue("node", name()).addKeyValue("request", exchange.entry.id())
+                .addKeyValue("class", exchange.route.className()).addKeyValue("customer", exchange.customer)
+                .addKeyValue("token", exchange.key.toString()).addKeyValue("attempts", exchange.entry.attempts())
+                .addKeyValue("ms", (System.nanoTime() - exchange.arrived) / 1_000_000)
+                .addKeyValue("outcome", answer.name().toLowerCase(java.util.Locale.ROOT)).log("request");
+        }
+    }
+
     List<Double> loadReport(Fields fields) {
         return LoadReport.of(fields, moduleSettings.reports());
     }
@@ -472,6 +489,7 @@
         }
         counts.refused += given == Answer.REFUSED ? 1 : 0;
         counts.failed += given == Answer.FAILED ? 1 : 0;
+        logAnswer(exchange, given);
         boolean swallowed = faults.contains(Fault.LOSE_ANSWERS) && (counts.refused + counts.failed) % 50 == 49;
         if (!swallowed) {
             exchange.client.answer(exchange, given == wanted ? problem
--- a/edge/src/main/java/thistlefall/edge/settings/NodeSettings.java
+++ b/edge/src/main/java/thistlefall/edge/settings/NodeSettings.java
@@ -73,11 +73,12 @@
      * @param idleTimeout a client connection without a request is closed after this
      * @param writeStall a client that takes nothing for this long is cut off
      * @param maxRetryAfter the longest advice to stay away
+     * @param logEvery one request in so many is logged; 0 for none
      */
     public record LimitSettings(Integer maxAttempts, Integer maxOpen, Integer maxConnections,
                                 Integer maxPipelined, Integer maxLine, Integer maxHead, Integer maxFields,
                                 Long maxBody, Integer replayBody, Duration headTimeout, Duration idleTimeout,
-                                Duration writeStall, Duration maxRetryAfter) {
+                                Duration writeStall, Duration maxRetryAfter, Integer logEvery) {
     }
 
     /** The introspection service; see {@link thistlefall.token.DeskPolicy} for the figures. */
--- a/standin/src/main/java/thistlefall/standin/count/CounterServer.java
+++ b/standin/src/main/java/thistlefall/standin/count/CounterServer.java
@@ -120,6 +120,7 @@
     private final class Session extends ChannelInboundHandlerAdapter {
         private List<List<String>> queued;
         private boolean broken;
+        private long readyAt = System.nanoTime();
 
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
@@ -134,8 +135,10 @@
             command(words, out);
             if (silent) {
                 out.release();
-            } else if (delay > 0) {
-                loop.schedule(() -> context.writeAndFlush(out), delay, TimeUnit.MILLISECONDS);
+            } else if (delay > 0 || readyAt > System.nanoTime()) {
+                // Replies never overtake each other, also when it has just become quick again.
+                readyAt = Math.max(readyAt + 1, System.nanoTime() + delay * 1_000_000);
+                loop.schedule(() -> context.writeAndFlush(out), readyAt - System.nanoTime(), TimeUnit.NANOSECONDS);
             } else {
                 context.write(out, context.voidPromise());
             }
--- /dev/null
+++ b/standin/src/test/java/thistlefall/standin/ConsulListTest.java
@@ -0,0 +1,114 @@
+package thistlefall.standin;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.URI;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import thistlefall.edge.list.ConsulList;
+import thistlefall.edge.list.ListReader;
+import thistlefall.edge.list.ListSource;
+import thistlefall.edge.list.Listed;
+import thistlefall.standin.roll.ListServer;
+import thistlefall.standin.trace.Trace;
+
+/** The blocking query against the stand-in, in good and bad times. */
+class ConsulListTest {
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    private final ListServer server = new ListServer(group.next(), null, null, new Trace(), peer -> peer);
+    private final List<String> lists = new CopyOnWriteArrayList<>();
+    private final AtomicInteger failures = new AtomicInteger();
+    private ConsulList source;
+
+    private void start() {
+        server.listen("127.0.0.1", 0);
+        source = new ConsulList(group.next(), URI.create("http://127.0.0.1:" + server.address().getPort()), "app",
+            new ListReader(List.of("z"), List.of("k")), 5, null);
+        source.start(new ListSource.Listener() {
+            @Override
+            public void list(long index, List<Listed> servers) {
+                lists.add(servers.stream().map(l -> l.server().id() + ":" + l.server().readiness())
+                    .collect(Collectors.joining(" ")));
+            }
+
+            @Override
+            public void failed(String reason) {
+                failures.incrementAndGet();
+            }
+
+            @Override
+            public void reset() {
+                lists.add("reset");
+            }
+        });
+    }
+
+    @AfterEach
+    void end() {
+        source.stop();
+        server.kill();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private void put(String id, String state) {
+        server.put(new ListServer.Entry(id, "127.0.0.1", 80, "z", 1, "k", 2, state, 0));
+    }
+
+    private String last() {
+        return lists.isEmpty() ? "" : lists.get(lists.size() - 1);
+    }
+
+    @Test
+    void changesComeWithoutBeingAskedFor() {
+        start();
+        put("a", "ready");
+        NodeUnderTest.until(() -> last().equals("a:READY"));
+        put("b", "ready");
+        NodeUnderTest.until(() -> last().equals("a:READY b:READY"));
+        put("a", "draining");
+        NodeUnderTest.until(() -> last().equals("a:DRAINING b:READY"));
+        server.remove("a");
+        NodeUnderTest.until(() -> last().equals("b:READY"));
+        assertEquals(0, failures.get());
+    }
+
+    @Test
+    void faultsOfTheSourceAreFailuresAndItComesBack() {
+        start();
+        put("a", "ready");
+        NodeUnderTest.until(() -> last().equals("a:READY"));
+        for (ListServer.Mode mode : List.of(ListServer.Mode.FAILING, ListServer.Mode.GARBLING)) {
+            int before = failures.get();
+            server.mode(mode);
+            NodeUnderTest.until(() -> failures.get() > before);
+            assertEquals("a:READY", last());
+        }
+        server.mode(ListServer.Mode.WELL);
+        put("b", "ready");
+        NodeUnderTest.until(() -> last().equals("a:READY b:READY"));
+        server.kill();
+        put("c", "ready");
+        int before = failures.get();
+        NodeUnderTest.until(() -> failures.get() > before);
+        server.relisten();
+        NodeUnderTest.until(() -> last().endsWith("c:READY"));
+    }
+
+    @Test
+    void anUnknownZoneSpoilsTheWholeAnswer() {
+        start();
+        put("a", "ready");
+        NodeUnderTest.until(() -> last().equals("a:READY"));
+        server.put(new ListServer.Entry("b", "127.0.0.1", 80, "elsewhere", 1, "k", 2, "ready", 0));
+        NodeUnderTest.until(() -> failures.get() > 0);
+        assertTrue(last().equals("a:READY"), "a server left out by a slip would be taken for gone");
+    }
+}
--- a/standin/src/test/java/thistlefall/standin/EdgeNodeTest.java
+++ b/standin/src/test/java/thistlefall/standin/EdgeNodeTest.java
@@ -248,4 +248,38 @@
             assertTrue(requests > 0);
         }
     }
+
+    @Test
+    void whatCameDuringAStallIsJudgedByItsTrueAge() throws IOException {
+        try (var server = new RawServer(ECHO); var node = new NodeUnderTest(server.port())) {
+            assertTrue(node.get("/safe", "good", "").endsWith("/safe"));
+            Socket hasty = node.connect();
+            Socket patient = node.connect();
+            node.node.stall(Duration.ofMillis(900));
+            RawServer.write(patient, "GET /safe HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer good\r\n\r\n");
+            RawServer.write(hasty, "GET /safe HTTP/1.1\r\nHost: x\r\nRequest-Timeout: 300\r\n"
+                + "Authorization: Bearer good\r\n\r\n");
+            String late = NodeUnderTest.answer(hasty.getInputStream());
+            assertTrue(late.contains("problem:refused"), late);
+            assertTrue(NodeUnderTest.answer(patient.getInputStream()).endsWith("/safe"));
+            assertEquals(2, server.requests.size(), "the hasty one was over before it could be sent");
+        }
+    }
+
+    @Test
+    void requestsBeyondTheNodesRoomAreRefusedAtOnce() throws IOException {
+        try (var server = new RawServer((s, socket) -> s.request(socket)); var node = new NodeUnderTest(server.port())) {
+            for (int i = 0; i < 99; i++) {
+                node.connect();
+            }
+            NodeUnderTest.until(() -> {
+                try {
+                    return node.connect().getInputStream().read() < 0 || node.node.counts().get("connections_turned_away") > 0;
+                } catch (IOException e) {
+                    return true;
+                }
+            });
+            assertTrue(node.node.counts().get("connections_turned_away") > 0);
+        }
+    }
 }
