--- a/cli/src/main/java/thistlefall/cli/settings/DayFiles.java
+++ b/cli/src/main/java/thistlefall/cli/settings/DayFiles.java
@@ -11,7 +11,7 @@
 /** Finds and reads days: those that come with the program, and any file. */
 public final class DayFiles {
     /** The days that come with the program; the first is played if none is named. */
-    public static final List<String> BUNDLED = List.of("bad-day", "quiet-day", "short-day");
+    public static final List<String> BUNDLED = List.of("bad-day", "fleet-day", "quiet-day", "short-day");
     private static final List<String> PARTS = List.of("common.libsonnet");
 
     private DayFiles() {
