--- a/edge/src/main/java/thistlefall/edge/host/Attempt.java
+++ b/edge/src/main/java/thistlefall/edge/host/Attempt.java
@@ -110,14 +110,7 @@
             piece.release();
             return;
         }
-        Channel channel = connection.channel();
-        if (exchange.head.framing().kind() == Framing.Kind.CHUNKED && piece.isReadable()) {
-            channel.write(HttpWriter.chunkSize(channel.alloc(), piece.readableBytes()));
-            channel.write(piece);
-            channel.writeAndFlush(HttpWriter.chunkEnd(channel.alloc()));
-        } else {
-            channel.writeAndFlush(piece);
-        }
+        HttpWriter.piece(connection.channel(), piece, exchange.head.framing().kind() == Framing.Kind.CHUNKED);
     }
 
     @Override
--- a/edge/src/main/java/thistlefall/edge/host/ClientConnection.java
+++ b/edge/src/main/java/thistlefall/edge/host/ClientConnection.java
@@ -256,13 +256,7 @@
             piece.release();
             return true;
         }
-        if (chunked && piece.isReadable()) {
-            channel.write(HttpWriter.chunkSize(channel.alloc(), piece.readableBytes()));
-            channel.write(piece);
-            channel.writeAndFlush(HttpWriter.chunkEnd(channel.alloc()));
-        } else {
-            channel.writeAndFlush(piece);
-        }
+        HttpWriter.piece(channel, piece, chunked);
         watchStall();
         return channel.isWritable();
     }
--- a/edge/src/main/java/thistlefall/edge/host/EdgeNode.java
+++ b/edge/src/main/java/thistlefall/edge/host/EdgeNode.java
@@ -118,16 +118,6 @@
         return front.counts().asMap();
     }
 
-    /** The parts behind it, for tests of the host. */
-    Front front() {
-        return front;
-    }
-
-    /** The loop it runs on, for tests of the host. */
-    EventLoop loop() {
-        return loop;
-    }
-
     /**
      * Stops: takes nothing new, waits for the answers owed as long as the span allows, then gives those still owed as
      * refused or failed, whichever is true, and closes.
--- a/edge/src/main/java/thistlefall/edge/host/Front.java
+++ b/edge/src/main/java/thistlefall/edge/host/Front.java
@@ -78,6 +78,7 @@
     private final Map<Exchange, Request> afterStall = new HashMap<>();
     private final NodeCounts counts = new NodeCounts();
     private final int logEvery;
+    private final int maxConnections;
     private long answers;
     private long nextWaiter;
     private long observedAt;
@@ -97,6 +98,7 @@
         var limits = Defaults.limits(settings);
         HttpLimits http = Defaults.http(limits);
         logEvery = limits.logEvery();
+        maxConnections = limits.maxConnections();
         String life = settings.node().name() + "-" + Long.toString(timeline.at(mono) / 1_000_000, 36) + "-";
         ledger = new Ledger(life, limits.maxOpen(), LEDGER_GUARD, mono);
         desk = new TokenDesk(Defaults.desk(settings.introspection()), random.nextLong(), now(), this);
@@ -153,11 +155,6 @@
         return counts;
     }
 
-    /** The module, to put another in its place in tests. */
-    ModuleHost module() {
-        return module;
-    }
-
     /** The shared time now. */
     private long now() {
         return timeline.at(System.nanoTime());
@@ -192,7 +189,7 @@
     // ---- clients ------------------------------------------------------------------------------------------
 
     boolean opened(ClientConnection client) {
-        if (draining || clients.size() >= Defaults.limits(settings).maxConnections()) {
+        if (draining || clients.size() >= maxConnections) {
             counts.connectionsTurnedAway++;
             return false;
         }
--- a/edge/src/main/java/thistlefall/edge/http/HttpWriter.java
+++ b/edge/src/main/java/thistlefall/edge/http/HttpWriter.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Set;
@@ -103,16 +104,17 @@
         return out.writeShort('\r' << 8 | '\n');
     }
 
-    /** The line before a chunk's data. */
-    public static ByteBuf chunkSize(ByteBufAllocator alloc, int size) {
-        ByteBuf out = alloc.ioBuffer(12);
-        ByteBufUtil.writeAscii(out, Integer.toHexString(size));
-        return end(out);
-    }
-
-    /** The line end after a chunk's data. */
-    public static ByteBuf chunkEnd(ByteBufAllocator alloc) {
-        return end(alloc.ioBuffer(2));
+    /** Writes a piece of a body and flushes; as a chunk of its own, if the body is chunked. */
+    public static void piece(Channel channel, ByteBuf piece, boolean chunked) {
+        if (chunked && piece.isReadable()) {
+            ByteBuf size = channel.alloc().ioBuffer(12);
+            ByteBufUtil.writeAscii(size, Integer.toHexString(piece.readableBytes()));
+            channel.write(end(size));
+            channel.write(piece);
+            channel.writeAndFlush(end(channel.alloc().ioBuffer(2)));
+        } else {
+            channel.writeAndFlush(piece);
+        }
     }
 
     /** The last chunk and the trailers. */
--- a/edge/src/main/java/thistlefall/edge/upstream/Call.java
+++ b/edge/src/main/java/thistlefall/edge/upstream/Call.java
@@ -42,7 +42,6 @@
     private final byte[] body;
     private final int maxBody;
     private final Done done;
-    private final long started = System.nanoTime();
     private Future<?> overdue;
     private ServerConnection connection;
     private Head.Response head;
@@ -158,11 +157,6 @@
             : new Reply(how, head == null ? 0 : head.status(), Fields.NONE, new byte[0]));
     }
 
-    /** Nanoseconds since it was sent. */
-    public long age() {
-        return System.nanoTime() - started;
-    }
-
     /** The body as text. */
     public static String text(Reply reply) {
         return new String(reply.body(), StandardCharsets.UTF_8);
--- a/standin/src/main/java/thistlefall/standin/day/Stage.java
+++ b/standin/src/main/java/thistlefall/standin/day/Stage.java
@@ -154,11 +154,11 @@
         NodeSettings s = day.settings();
         String zone = s.zones().get(i % s.zones().size());
         var identity = new NodeSettings.Identity("edge-" + i, i, day.nodes(), zone, source(i));
-        var t = s.introspection();
+        var t = s.introspection() != null ? s.introspection()
+            : new NodeSettings.TokenSettings(null, null, null, null, null, null, null, null, null, null, null);
         var token = new NodeSettings.TokenSettings(url(introspection.address()) + "/introspect", CLIENT_ID, SECRET,
-            t == null ? null : t.maxEntries(), t == null ? null : t.maxWaiting(), t == null ? null : t.maxCalls(),
-            t == null ? null : t.freshFor(), t == null ? null : t.negativeFor(), t == null ? null : t.staleFor(),
-            t == null ? null : t.waitMost(), t == null ? null : t.callTimeout());
+            t.maxEntries(), t.maxWaiting(), t.maxCalls(), t.freshFor(), t.negativeFor(), t.staleFor(), t.waitMost(),
+            t.callTimeout());
         var c = s.counter();
         var count = c == null ? null : new NodeSettings.CounterSettings(List.of(HOST + ":" + counter.address().getPort()),
             c.timeout(), c.settles(), c.largest());
--- a/standin/src/main/java/thistlefall/standin/day/Troubles.java
+++ b/standin/src/main/java/thistlefall/standin/day/Troubles.java
@@ -74,12 +74,10 @@
 
     private final Stage stage;
     private final ScheduledExecutorService script;
-    private final long start;
 
     Troubles(Stage stage, ScheduledExecutorService script) {
         this.stage = stage;
         this.script = script;
-        start = System.nanoTime();
     }
 
     /** The kinds there are. */
@@ -246,9 +244,4 @@
             stage.nuisance.malformed(stage.nodeAddress(i % stage.nodes.size()));
         }
     }
-
-    /** Milliseconds since the script began. */
-    long elapsed() {
-        return (System.nanoTime() - start) / 1_000_000;
-    }
 }
