--- a/bench/src/main/java/thistlefall/bench/ProxyBench.java
+++ b/bench/src/main/java/thistlefall/bench/ProxyBench.java
@@ -113,7 +113,7 @@
             Repeat.SAFE, null, null, 0, 1, null));
         var plans = List.of(new NodeSettings.PlanSettings("all", 1e7, 1e7, 0, 1.0, 0, 1.0, 0, 0, 0));
         return new NodeSettings(new NodeSettings.Identity("n", 0, 2, "z", null), new NodeSettings.Listen("127.0.0.1", 0),
-            List.of("z"), List.of("k"), classes, List.of(new NodeSettings.RouteSettings(null, "/slots", "lookup", 1.0, null)),
+            List.of("z"), List.of("k"), classes, List.of(new NodeSettings.RouteSettings(null, "/slots", "lookup", 1.0, null, null)),
             plans, new NodeSettings.AccessSettings(null, "plan", null), null,
             new NodeSettings.TokenSettings("http://127.0.0.1:" + introspection.address().getPort() + "/i", "edge", "s", null,
                 null, null, null, null, null, null, null),
--- a/bench/src/main/java/thistlefall/bench/TokenStallBench.java
+++ b/bench/src/main/java/thistlefall/bench/TokenStallBench.java
@@ -103,7 +103,7 @@
             Repeat.SAFE, null, null, 0, 1, null));
         var plans = List.of(new NodeSettings.PlanSettings("all", 0, 0, 0, 1.0, 0, 1.0, 0, 0, 0));
         return new NodeSettings(new NodeSettings.Identity("n", 0, 1, "z", null), new NodeSettings.Listen("127.0.0.1", 0),
-            List.of("z"), null, classes, List.of(new NodeSettings.RouteSettings(null, "/slots", "lookup", 1.0, null)), plans,
+            List.of("z"), null, classes, List.of(new NodeSettings.RouteSettings(null, "/slots", "lookup", 1.0, null, null)), plans,
             null, null, new NodeSettings.TokenSettings("http://127.0.0.1:" + introspection.address().getPort() + "/i", "edge",
                 "s", null, null, null, null, null, null, Duration.ofSeconds(3), null), null,
             new NodeSettings.ServerSettings(list.toString(), null, null, null, null, null, null, null, null, null), null);
--- a/cli/src/main/java/thistlefall/cli/DaemonNodes.java
+++ b/cli/src/main/java/thistlefall/cli/DaemonNodes.java
@@ -10,18 +10,20 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import thistlefall.cli.settings.Binder;
-import thistlefall.edge.host.Fault;
+import thistlefall.standin.fault.Fault;
 import thistlefall.edge.settings.NodeSettings;
 import thistlefall.standin.day.NodeRunner;
 
 /** Nodes each in a process of its own, started by the daemon's command line and killed outright. */
 final class DaemonNodes implements NodeRunner {
     private static final long START_S = 30;
+    private static final int COUNTS_MS = 250;
     private final Path folder;
 
     DaemonNodes(Path folder) {
@@ -41,7 +43,8 @@
         List<String> command = new ArrayList<>(List.of(System.getProperty("java.home") + File.separator + "bin"
             + File.separator + "java", "-XX:+UseSerialGC", "-Xmx256m", "-XX:TieredStopAtLevel=1", "-cp",
             System.getProperty("java.class.path"), Main.class.getName(), "run", file.toString(), "--seed",
-            Long.toString(seed), "--drain", "2000"));
+            Long.toString(seed), "--drain", "2000",
+            "--counts-every", Integer.toString(COUNTS_MS)));
         faults.forEach(fault -> command.addAll(List.of("--break", fault.label())));
         Path log = folder.resolve(settings.node().name() + ".log");
         Process process = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.appendTo(log.toFile()))
@@ -75,11 +78,27 @@
 
             @Override
             public Map<String, Long> counts() {
-                return Map.of();
+                return lastCounts(log);
             }
         };
     }
 
+    /** The counts that a node's log told last, once one has been told that is newer than this call. */
+    private static Map<String, Long> lastCounts(Path log) {
+        sleep(2L * COUNTS_MS);
+        try (var lines = Files.lines(log)) {
+            String last = lines.filter(line -> line.contains("\"thistlefall.counts\"")).reduce((a, b) -> b).orElse(null);
+            Map<String, Long> counts = new LinkedHashMap<>();
+            if (last != null) {
+                new ObjectMapper().readTree(last).properties().stream().filter(e -> e.getValue().isIntegralNumber())
+                    .forEach(e -> counts.put(e.getKey(), e.getValue().asLong()));
+            }
+            return counts;
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
     private static void awaitListening(Process process, Path log) throws IOException {
         var out = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
         Thread watchdog = new Thread(() -> {
--- a/cli/src/main/java/thistlefall/cli/FaultConverter.java
+++ b/cli/src/main/java/thistlefall/cli/FaultConverter.java
@@ -4,7 +4,7 @@
 import java.util.stream.Collectors;
 import picocli.CommandLine.ITypeConverter;
 import picocli.CommandLine.TypeConversionException;
-import thistlefall.edge.host.Fault;
+import thistlefall.standin.fault.Fault;
 
 /** Reads the name of a planted fault. */
 final class FaultConverter implements ITypeConverter<Fault> {
--- a/cli/src/main/java/thistlefall/cli/RehearseCommand.java
+++ b/cli/src/main/java/thistlefall/cli/RehearseCommand.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.Comparator;
 import java.util.EnumSet;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.function.DoubleConsumer;
@@ -15,7 +16,8 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import thistlefall.cli.settings.DayFiles;
-import thistlefall.edge.host.Fault;
+import thistlefall.standin.fault.Fault;
+import thistlefall.standin.check.QuotaMeasure;
 import thistlefall.standin.check.Verdict;
 import thistlefall.standin.day.Day;
 import thistlefall.standin.day.LibraryNodes;
@@ -125,6 +127,7 @@
             rules.addObject().put("rule", verdict.rule()).put("checked", verdict.checked())
                 .put("broken", verdict.broken()).put("first", verdict.first());
         }
+        root.set("quota", quota(result, mapper));
         var troubles = root.putArray("troubles");
         for (Day.Trouble trouble : result.day().troubles()) {
             long from = trouble.at().toMillis();
@@ -135,6 +138,27 @@
         return root;
     }
 
+    private static ObjectNode quota(Rehearsal.Result result, ObjectMapper mapper) {
+        QuotaMeasure.Quota quota = result.quota();
+        ObjectNode node = mapper.createObjectNode();
+        node.put("tries", quota.tries()).put("tries_with_room", quota.triesWithRoom())
+            .put("refused_with_room", quota.refusedWithRoom()).put("refused_part", quota.refusedPart())
+            .put("units_beyond", quota.unitsBeyond()).put("worst_beyond", quota.worstBeyond())
+            .put("customers_beyond", quota.customersBeyond()).put("calls_per_request", result.callsPerRequest());
+        node.set("by_plan", parts(quota.byPlan(), mapper));
+        node.set("by_class", parts(quota.byClass(), mapper));
+        node.set("by_trouble", parts(quota.byTrouble(), mapper));
+        node.set("by_reason", mapper.valueToTree(quota.byReason()));
+        return node;
+    }
+
+    private static ObjectNode parts(Map<String, QuotaMeasure.Part> parts, ObjectMapper mapper) {
+        ObjectNode node = mapper.createObjectNode();
+        parts.forEach((name, part) -> node.putObject(name).put("refused", part.refused())
+            .put("with_room", part.withRoom()));
+        return node;
+    }
+
     private static void print(Rehearsal.Result result, PrintStream out) {
         out.printf("day %s, seed %d, via %s: %d requests%n", result.day().name(), result.seed(), result.via(),
             result.requests());
@@ -144,6 +168,10 @@
             out.printf("%4d  %9d  %7d  %s%n", verdict.rule(), verdict.checked(), verdict.broken(),
                 verdict.first() == null ? "" : verdict.first());
         }
+        QuotaMeasure.Quota quota = result.quota();
+        out.printf("quota: %d of %d tries with room refused (%.2f %%), %.1f units beyond, %.2f calls a request%n",
+            quota.refusedWithRoom(), quota.triesWithRoom(), 100 * quota.refusedPart(), quota.unitsBeyond(),
+            result.callsPerRequest());
         result.figures().forEach((part, figures) -> out.println(part + ": " + figures));
         out.println(result.kept() ? "all rules kept" : "RULES BROKEN");
     }
--- a/cli/src/main/java/thistlefall/cli/settings/DayFiles.java
+++ b/cli/src/main/java/thistlefall/cli/settings/DayFiles.java
@@ -11,7 +11,8 @@
 /** Finds and reads days: those that come with the program, and any file. */
 public final class DayFiles {
     /** The days that come with the program; the first is played if none is named. */
-    public static final List<String> BUNDLED = List.of("bad-day", "fleet-day", "quiet-day", "short-day");
+    public static final List<String> BUNDLED = List.of("bad-day", "calm-day", "fleet-day", "lumpy-day", "quiet-day",
+        "short-day");
     private static final List<String> PARTS = List.of("common.libsonnet");
 
     private DayFiles() {
@@ -19,15 +20,14 @@
 
     /** Reads a day by name or by path. */
     public static Day read(String nameOrPath) throws BadFile, IOException {
-        if (!BUNDLED.contains(nameOrPath)) {
-            return read(Path.of(nameOrPath));
-        }
         Path folder = Files.createTempDirectory("thistlefall-days");
         try {
             for (String part : PARTS) {
                 unpack(part, folder);
             }
-            return read(unpack(nameOrPath + ".jsonnet", folder));
+            // A user's day may import the bundled parts too.
+            Path file = BUNDLED.contains(nameOrPath) ? unpack(nameOrPath + ".jsonnet", folder) : Path.of(nameOrPath);
+            return read(file, folder);
         } finally {
             try (var files = Files.list(folder)) {
                 for (Path file : files.toList()) {
@@ -49,8 +49,8 @@
         }
     }
 
-    private static Day read(Path file) throws BadFile {
-        JsonnetFile.Read<Day> read = JsonnetFile.read(file, Day.class);
+    private static Day read(Path file, Path library) throws BadFile {
+        JsonnetFile.Read<Day> read = JsonnetFile.read(file, Day.class, List.of(library));
         Day day = read.value();
         Faults faults = read.faults();
         if (faults.none() && day != null) {
--- a/cli/src/main/java/thistlefall/cli/settings/JsonnetFile.java
+++ b/cli/src/main/java/thistlefall/cli/settings/JsonnetFile.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import sjsonnet.SjsonnetMain;
 
@@ -36,6 +37,11 @@
 
     /** Reads a file; one that can't be read or evaluated is a {@link BadFile} at once. */
     public static <T> Read<T> read(Path file, Class<T> type) throws BadFile {
+        return read(file, type, List.of());
+    }
+
+    /** The same; what it imports is looked for beside it, then in these folders. */
+    public static <T> Read<T> read(Path file, Class<T> type, List<Path> libraries) throws BadFile {
         String source;
         try {
             source = Files.readString(file);
@@ -43,7 +49,7 @@
             throw new BadFile(List.of(file + ": " + (e instanceof java.nio.file.NoSuchFileException ? "no such file"
                 : "can't be read: " + e.getMessage())));
         }
-        JsonNode tree = evaluate(file);
+        JsonNode tree = evaluate(file, libraries);
         Faults faults = new Faults(file.toString(), new Places(source));
         Object value = new Binder(faults).bind(tree, (Type) type, "");
         if (value == null && faults.none()) {
@@ -52,12 +58,15 @@
         return new Read<>(type.cast(value), faults);
     }
 
-    private static JsonNode evaluate(Path file) throws BadFile {
+    private static JsonNode evaluate(Path file, List<Path> libraries) throws BadFile {
         var out = new ByteArrayOutputStream();
         var err = new ByteArrayOutputStream();
         int exit;
+        List<String> arguments = new ArrayList<>();
+        libraries.forEach(folder -> arguments.addAll(List.of("--jpath", folder.toString())));
+        arguments.add(file.toString());
         try {
-            exit = SjsonnetMain.main0(new String[] {file.toString()}, new sjsonnet.DefaultParseCache(),
+            exit = SjsonnetMain.main0(arguments.toArray(String[]::new), new sjsonnet.DefaultParseCache(),
                 new ByteArrayInputStream(new byte[0]), new PrintStream(out, true, StandardCharsets.UTF_8),
                 new PrintStream(err, true, StandardCharsets.UTF_8), os.package$.MODULE$.pwd(),
                 SjsonnetMain.main0$default$7(), SjsonnetMain.main0$default$8(), SjsonnetMain.main0$default$9());
--- a/cli/src/test/java/thistlefall/cli/RehearsalTest.java
+++ b/cli/src/test/java/thistlefall/cli/RehearsalTest.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
-import thistlefall.edge.host.Fault;
+import thistlefall.standin.fault.Fault;
 
 /** The command over real sockets: the rules hold, and each planted fault is caught by its rule's checker. */
 class RehearsalTest {
--- a/core/src/main/java/thistlefall/Gateway.java
+++ b/core/src/main/java/thistlefall/Gateway.java
@@ -4,6 +4,8 @@
 import java.util.stream.*;
 import org.ejml.simple.SimpleMatrix;
 import thistlefall.Ports.*;
+import thistlefall.count.*;
+import thistlefall.lease.*;
 
 /**
  * All decisions of one gateway: quotas, fair queue, controllers, choice of server, attempts, final answers.
@@ -17,8 +19,6 @@
     private static final long TICK = 10 * MS;
     /** How often fresh use is pushed, and for how long no call is answered by a counter that is silent. */
     private static final long PUSH = SECOND / 4, SILENT_AFTER = SECOND / 2;
-    /** Calls to the counter a second at first; their growth, faster by the second, and its step down. */
-    private static final double CALLS_START = 2, CALLS_UP = 0.02, CALLS_MOST_UP = 0.25, CALLS_DOWN = 0.7;
     /** The operator's limit on concurrency: requests in flight for each listed server, over all gateways. */
     private static final double OPEN_PER_SERVER = 6;
     /** The estimator's memory of some 50 intervals, and the bound on its trace in a quiet spell. */
@@ -27,8 +27,8 @@
     private static final double INVERSE_UNIT = 10;
     /** Actuation penalties (the level's loop is the slower), and the least part of each: no class starves. */
     private static final double Q_SHARE = 0.3, Q_LEVEL = 0.7, MIN_SHARE = 0.02, MIN_LEVEL = 0.25;
-    /** Weight of an answer in a server's averages; memory, in seconds, of these and of the others' use. */
-    private static final double ALPHA = 0.12, ALPHA_ERR = 0.2, FORGIVE_S = 4, OTHERS_S = 3;
+    /** Weight of an answer in a server's averages; their memory, in seconds. */
+    private static final double ALPHA = 0.12, ALPHA_ERR = 0.2, FORGIVE_S = 4;
     /** How many servers each of as many gateways as servers looks at for a request; two are the least. */
     private static final int LOOK = 3;
     /** Further attempts per first one, how many may be saved up; the usual spans that a first one needs. */
@@ -43,7 +43,7 @@
     private final Actions out;
     private final SplittableRandom random;
     private final long born;
-    private long now, nextControl, answeredAt, tokensAt, slowedAt, sentWorkAt, restUntil, sweptAt;
+    private long now, nextControl, answeredAt, sentWorkAt, restUntil, sweptAt;
     private final Map<String, Job> jobs = new HashMap<>();
     private final Map<Long, Customer> customers = new LinkedHashMap<>();
     private final Map<String, Backend> servers = new LinkedHashMap<>();
@@ -54,12 +54,12 @@
     private final Control control;
     private int inFlight, heardCount;
     private double retryTokens = RETRY_MOST, virtualTime, sentWork, usualStake, usualLoad;
-    private boolean silent, denied;
-    private double callRate = CALLS_START, callTokens;
+    private boolean silent;
+    private final CallBudget budget;
     /** For each plan the units taken and those of them told to the counter, as of late. */
     private final double[] taken, told;
     /** Customers with something to push. */
-    private final Set<Customer> active = new LinkedHashSet<>();
+    private final Set<Customer> active = new LinkedHashSet<>(), borrowing = new LinkedHashSet<>();
     private final Map<Long, ArrayDeque<Call>> calls = new LinkedHashMap<>();
 
     /** A gateway that starts now; {@code seed} is its only source of chance. */
@@ -75,8 +75,7 @@
         told = new double[taken.length];
         control = new Control();
         answeredAt = now;
-        tokensAt = now;
-        callTokens = random.nextDouble(CALLS_START);
+        budget = new CallBudget(cfg.siblings(), cfg.counter().timeout(), random.nextDouble(), now);
         nextControl = now + SECOND;
         out.timer(0, TICK);
         if (cfg.limits().askForList()) { out.watchList(); }
@@ -116,7 +115,7 @@
         now = at;
         boolean known = request.requestClass() >= 0 && request.requestClass() < lanes.length
             && request.plan() >= 0 && request.plan() < cfg.plans().size();
-        if (!known) { out.refuse(request.id(), 0); }
+        if (!known) { out.refuse(request.id(), 0, Reason.UNKNOWN); }
         if (!known || jobs.containsKey(request.id())) { return; }
         Customer customer = customers.get(request.customer());
         if (customer == null) {
@@ -130,7 +129,7 @@
         jobs.put(request.id(), job);
         if (job.hopeless()) {
             // Some come with hardly any time left: the next look at the queue would be too late.
-            giveUp(job);
+            giveUp(job, Reason.TIME);
         } else {
             customer.admit(job);
         }
@@ -199,15 +198,7 @@
         if (call == null) { return; }
         if (pending.isEmpty()) { calls.remove(name); }
         boolean answered = outcome == Outcome.OK;
-        boolean slow = !answered || now - call.at > cfg.counter().timeout() / 3;
-        // A full line outlasts the time-out, and no call is answered: back off at the first long wait.
-        if (slow && now - slowedAt > PUSH) {
-            callRate = Math.max(1, callRate * CALLS_DOWN);
-            slowedAt = now;
-        } else if (!slow && denied) {
-            denied = false;
-            callRate *= 1 + Math.min(CALLS_MOST_UP, CALLS_UP * (now - slowedAt) * NANO);
-        }
+        budget.ended(now, now - call.at, answered);
         answeredAt = answered ? now : answeredAt;
         if (silent != now - answeredAt > SILENT_AFTER) {
             silent = !silent;
@@ -217,18 +208,6 @@
         dispatch();
     }
 
-    /** Takes a call from the budget: the emptier that is, the more must be at stake, in usual stakes. */
-    private boolean mayCall(double stake) {
-        double rate = silent ? 1 : callRate;
-        double most = Math.max(2 * CALLS_START, rate);
-        callTokens = Math.min(most, callTokens + rate * (now - tokensAt) * NANO);
-        tokensAt = now;
-        boolean may = callTokens >= 1 && stake >= 2 * (1 - callTokens / most);
-        callTokens -= may ? 1 : 0;
-        denied |= !may;
-        return may;
-    }
-
     @Override public void probed(long at, String id, Outcome how, long took, List<Double> report) {
         now = at;
         Backend backend = servers.get(id);
@@ -258,10 +237,10 @@
         for (Lane lane : lanes) { expire(lane.queue); }
         // A host that never ends a call must not cost a request its answer.
         long due = now - 2 * cfg.counter().timeout();
-        for (ArrayDeque<Call> line : calls.values()) {
-            line.stream().filter(call -> call.at < due).forEach(call -> call.customer.conclude(call, false));
-        }
+        calls.values().stream().flatMap(ArrayDeque::stream).filter(call -> call.at < due).toList()
+            .forEach(call -> call.customer.conclude(call, false));
         List.copyOf(active).forEach(Customer::push);
+        List.copyOf(borrowing).forEach(Customer::borrow);
         if (now >= nextControl) {
             nextControl += SECOND;
             control.interval();
@@ -269,23 +248,25 @@
         dispatch();
     }
 
-    private record Call(Customer customer, long window, double amount, Job job, long at) { }
-
-    /** Spreads numbers that lie close together over all long values. */
-    private static long mix(long z) { return new SplittableRandom(z).nextLong(); }
+    /** A call out; one for a lease has no list of jobs, and its serial number in place of a window. */
+    private record Call(Customer customer, long window, double amount, List<Job> jobs, long at) { }
 
     /** What this gateway knows of a customer's use. */
     private final class Customer {
-        private final long key, span, phase;
+        private final long key, span;
         private final Plan plan;
         private final int gateways, place;
         private final boolean shared;
-        /** The count of the present window: its number, this gateway's part and the others'. */
-        private long window = Long.MIN_VALUE, refilled, heard, pushAt, usedAt;
-        private double mine, others;
-        /** The quota's store as estimated here; the others' use: its rate, and what was foreseen of it. */
-        private double store, othersRate, foreseen, unpushed, ceiling;
-        private boolean deaf;
+        private long pushAt, usedAt;
+        private double unpushed;
+        /** The totals told and heard, and what is made of them. */
+        private final Totals totals;
+        private final QuotaStore store;
+        /** What may be spent under the ceiling, and who waits for a lease of it. */
+        private final Escrow escrow;
+        private final Borrowers borrowers = new Borrowers();
+        /** The newest call to the counter that is out. */
+        private Call asked;
         private int open, held;
 
         Customer(long key, Request first) {
@@ -294,90 +275,97 @@
             plan = cfg.plans().get(place);
             gateways = Math.max(1, Math.min(first.setSize(), cfg.siblings()));
             shared = gateways > 1 && cfg.counter().present();
-            store = plan.burst();
             // In one burst's span a steady customer is given just one burst: the running total alone tells a
             // gateway that never heard of it. Spans of different customers begin at different moments.
             double full = plan.rate() > 0 ? plan.burst() / plan.rate() : 1;
             span = (long) (Math.min(30, Math.max(1, full)) * SECOND);
-            phase = Math.floorMod(mix(key), span);
+            totals = new Totals(key, span);
+            double largest = cfg.counter().largest();
+            store = new QuotaStore(plan.rate(), plan.burst(), gateways, largest, span, born, now);
             // A restarted gateway cannot know what it spent under the ceiling: that starts with nothing.
-            refilled = born;
-            heard = now - 2 * span;
+            escrow = plan.ceilingRate() <= 0 ? null : new Escrow(Figures.of(plan.ceilingRate(),
+                plan.ceilingBurst(), gateways, shared && cfg.counter().exact()), key, born);
             // Pushes are spread in time: all at once they would find the counter's line full.
             pushAt = now + random.nextLong(PUSH);
         }
 
-        void refill() {
-            double s = (now - refilled) * NANO;
-            refilled = now;
-            // Totals feed an estimate: between them the others go on as they did; unheard of, it is divided.
-            double others = s * Math.min(plan.rate() * (deaf ? 1 - 1.0 / gateways : 1),
-                deaf ? plan.rate() : othersRate);
-            foreseen += others;
-            store = Math.min(plan.burst(), store + s * plan.rate() - others);
-            ceiling = Math.min(plan.ceilingBurst() / gateways, ceiling + s * plan.ceilingRate() / gateways);
-        }
-
         /** Anew it would start as it is now: full, and not heard of. It gains nothing by being forgotten. */
         boolean forgettable() {
-            refill();
-            boolean full = store >= plan.burst()
-                && (plan.ceilingRate() <= 0 || ceiling >= plan.ceilingBurst() / gateways);
-            return full && held == 0 && now - Math.max(usedAt, heard) > KEPT && !active.contains(this);
+            store.refill(now);
+            boolean full = store.full() && (escrow == null || escrow.full(now));
+            boolean idle = held == 0 && !active.contains(this);
+            return full && idle && now - Math.max(usedAt, store.heard()) > KEPT;
         }
 
         /** Decides at once on fresh news; else the units go to the counter first and the total decides. */
         void admit(Job job) {
-            refill();
+            store.refill(now);
             double units = job.request.units();
-            // The ceiling holds whatever the others do: each gateway keeps to its part of rate and burst.
-            if (plan.ceilingRate() > 0 && ceiling < units) {
-                refuse(job, (units - ceiling) * gateways / plan.ceilingRate());
+            // The ceiling holds whatever the others do: each keeps to its part and to what it is lent.
+            job.own = escrow == null ? 0 : escrow.spend(now, units);
+            if (job.own < 0 && !escrow.lends()) {
+                refuse(job, escrow.wait(now, units) * NANO, Reason.CEILING);
                 return;
             }
-            ceiling -= units;
             take(units);
             job.taken = true;
             job.inQuota = true;
             boolean dear = plan.rate() > 0 && plan.beyondEarns() <= plan.beyondCosts();
-            boolean old = dear && now - heard > span / 4 && shared && !silent;
+            // Waiting for a total beats refusing where only the foreseen use of others would refuse it.
+            double margin = store.othersIn(PUSH);
+            boolean old = store.doubtful(now, margin) || now - store.heard() > span / 4;
+            old &= dear && shared && !silent;
             // Scarce calls go where most can be lost and own traffic tells least; repeats follow refusals.
             double stake = job.lane.spec.worth() * plan.price() * plan.beyondCosts() * units
                 * gateways / cfg.siblings() * (job.request.repeat() ? 0.3 : 1);
             usualStake += 0.02 * (stake - usualStake);
             stake /= Math.max(1e-9, usualStake);
-            if (old && now + 2 * cfg.counter().timeout() < job.aimAt() && mayCall(stake)) {
-                job.asking = true;
-                call(job);
+            boolean inTime = now + 2 * cfg.counter().timeout() < job.aimAt();
+            if (old && inTime && asked != null && asked.at == now) {
+                job.asking = asked.jobs.add(job);
+            } else if (old && inTime && budget.take(now, stake, silent)) {
+                call();
+                job.asking = asked.jobs.add(job);
             } else {
-                if (gateways > 1 && now - heard > span) { divide(); }
-                boolean doubtful = deaf && job.request.repeat() && plan.burst() / gateways < units;
-                decide(job, doubtful ? Double.MAX_VALUE : othersRate * PUSH * NANO);
-            }
-        }
-
-        /** Without news the quota is divided; parts under one request would refuse all who come so rarely. */
-        private void divide() {
-            if (!deaf && store > 0) {
-                store = Math.max(store / gateways, Math.min(store, cfg.counter().largest()));
+                if (gateways > 1 && now - store.heard() > span) { store.divide(); }
+                boolean doubtful = store.deaf() && job.request.repeat() && plan.burst() / gateways < units;
+                decide(job, doubtful ? Double.MAX_VALUE : margin);
             }
-            deaf = true;
         }
 
         private void decide(Job job, double keptBack) {
             double units = job.request.units();
-            job.inQuota = plan.rate() <= 0 || store >= keptBack;
+            job.inQuota = plan.rate() <= 0 || store.units() >= keptBack;
             if (!job.inQuota) { take(-units); }
             if (job.inQuota || plan.beyondEarns() > plan.beyondCosts()) {
-                enqueue(job);
+                job.asking = job.own < 0;
+                if (job.asking) {
+                    borrowers.add(job);
+                    borrow();
+                } else {
+                    enqueue(job);
+                }
             } else {
-                refuse(job, (units - store) / plan.rate());
+                boolean fresh = gateways == 1 || now - store.heard() <= PUSH;
+                Reason why = fresh ? Reason.QUOTA : Reason.QUOTA_ESTIMATED;
+                refuse(job, (units - store.units()) / plan.rate(), store.deaf() ? Reason.QUOTA_PART : why);
+            }
+        }
+
+        private void borrow() {
+            Escrow.Call draw = borrowers.serve(now, escrow, () -> budget.take(now, 2, silent));
+            if (draw != null) {
+                calls.computeIfAbsent(draw.name(), n -> new ArrayDeque<>())
+                    .add(new Call(this, draw.serial(), 0, null, now));
+                out.count(draw.name(), draw.amount(), draw.lifetime());
             }
+            boolean done = borrowers.none() && !escrow.unfinished();
+            if (done) { borrowing.remove(this); } else { borrowing.add(this); }
         }
 
-        private void refuse(Job job, double retryAfter) {
+        private void refuse(Job job, double retryAfter, Reason why) {
             double most = cfg.limits().retryAfter() ? cfg.limits().maxRetryAfter() : 0;
-            out.refuse(job.request.id(), (long) Math.max(0, Math.min(most, retryAfter * SECOND)));
+            out.refuse(job.request.id(), (long) Math.max(0, Math.min(most, retryAfter * SECOND)), why);
             forget(job);
         }
 
@@ -386,7 +374,7 @@
                 taken[place] = 0.99 * taken[place] + Math.max(0, units);
                 told[place] *= 0.99;
                 unpushed += units;
-                store -= units;
+                store.take(units);
                 usedAt = now;
                 active.add(this);
             }
@@ -398,88 +386,89 @@
             if (!fresh) {
                 unpushed = 0;
                 active.remove(this);
-            } else if (now >= pushAt && mayCall(0.25)) {
-                call(null);
+            } else if (now >= pushAt && budget.take(now, 0.25, silent)) {
+                call();
             }
         }
 
-        private void call(Job job) {
-            long index = Math.floorDiv(now + phase, span);
-            if (window != index) { mine = others = 0; }
-            window = index;
+        private void call() {
+            // Near the quota each unit counts: the end of the last window is asked for too.
+            boolean near = store.units() < plan.burst() / 2 && plan.beyondEarns() <= plan.beyondCosts();
+            if (totals.turn(now)) {
+                store.turn(now, totals.began());
+                if (near && budget.take(now, 0.25, silent)) { count(totals.before(), 0); }
+            }
             double amount = Math.rint(unpushed * 1e6) * 1e-6;
             told[place] += amount;
-            pushAt = now + (store < plan.burst() / 2 ? PUSH : SECOND);
+            pushAt = now + (store.units() < plan.burst() / 2 ? PUSH : SECOND);
             unpushed = 0;
-            long name = mix(mix(key) + index) >>> 1;
-            Call call = new Call(this, window, amount, job, now);
-            calls.computeIfAbsent(name, n -> new ArrayDeque<>()).add(call);
-            out.count(name, amount, 2 * span);
+            asked = count(totals.present(), amount);
+        }
+
+        private Call count(long window, double amount) {
+            Call call = new Call(this, window, amount, new ArrayList<>(0), now);
+            calls.computeIfAbsent(totals.name(window), n -> new ArrayDeque<>()).add(call);
+            out.count(totals.name(window), amount, 2 * span);
+            return call;
         }
 
         void counted(Call call, Outcome outcome, double total) {
+            if (call.jobs == null) {
+                escrow.ended(now, call.window, outcome == Outcome.OK, total);
+                borrow();
+                return;
+            }
             if (outcome.provesNeverRan()) {
                 unpushed += call.amount;
                 told[place] -= call.amount;
                 active.add(this);
-            } else if (call.window == window) {
+            } else {
                 // Without an answer it may have been added; if not, the next total looks like lost counts.
-                mine += call.amount;
+                totals.told(call.window, call.amount);
             }
-            refill();
-            if (outcome == Outcome.OK && call.window == window) { learn(call, total); }
+            store.refill(now);
+            if (outcome == Outcome.OK && totals.knows(call.window)) { learn(call, total); }
             conclude(call, outcome == Outcome.OK);
         }
 
         private void conclude(Call call, boolean answered) {
-            Job job = call.job;
-            if (job == null || !job.asking) { return; }
-            job.asking = false;
-            if (job.over) {
-                forget(job);
-            } else {
-                decide(job, answered ? 0 : othersRate * PUSH * NANO);
+            if (call.jobs == null) { return; }
+            asked = asked == call ? null : asked;
+            for (Job job : call.jobs) {
+                job.asking = false;
+                if (job.over) {
+                    forget(job);
+                } else {
+                    decide(job, answered ? 0 : store.othersIn(PUSH));
+                }
             }
+            call.jobs.clear();
         }
 
         private void learn(Call call, double total) {
-            double theirs = total - mine;
-            // Lost counts: what is there now is new since the loss, and tells of the others what it can.
-            if (theirs < -1e-3 || theirs < others - plan.burst() / 2) {
-                mine = call.amount;
-                others = 0;
-                theirs = Math.max(0, total - call.amount);
-            }
+            double news = totals.news(call.window, total, call.amount, plan.burst() / 2);
             // Where calls are scarce only a part of the use is told; the others' part is taken to be as ours.
             double least = 2 * cfg.counter().largest();
             double part = (Math.max(0, told[place]) + least) / (taken[place] + least);
-            if (now - heard > span) {
-                // The estimate is too old: in one span a full store and this window's total tell more.
-                store = plan.burst() - mine - unpushed;
-                foreseen = 0;
+            part = budget.scarce(now) ? Math.min(1, Math.max(0.1, part)) : 1;
+            if (call.window == totals.present()) {
+                store.learn(now, news, part, totals.began(), totals.mine() + unpushed);
+            } else {
+                store.closed(news / part);
             }
-            double news = (theirs - others) / Math.min(1, Math.max(0.1, part));
-            others = theirs;
-            deaf = false;
-            long since = Math.max(heard, window * span - phase);
-            double s = Math.max(0.05, (now - since) * NANO);
-            heard = now;
-            double rate = Math.max(0, Math.min(news / s, 2 * plan.rate()));
-            othersRate += (1 - Math.exp(-s / OTHERS_S)) * (rate - othersRate);
-            // What was sent beyond the quota took nothing from the store: it cannot be far below nothing.
-            store = Math.max(Math.min(plan.burst(), store - news + foreseen), -cfg.counter().largest());
-            foreseen = 0;
         }
     }
 
     /** A request taken and not yet finished. */
-    private final class Job {
+    private final class Job implements Borrower {
         private final Request request;
         private final Customer customer;
         private final Lane lane;
         private final long arrived = now;
         private final double vAtArrival = virtualTime;
         private boolean taken, asking, inQuota, open, over;
+        /** What of its units came from this gateway's own part of the ceiling; below 0 until it may go. */
+        private double own;
         private int attempts;
         private Backend backend;
         private long sentAt, mayHaveRunSince;
@@ -497,6 +486,22 @@
             return lane.spec.worth() * customer.plan.price() * part;
         }
 
+        @Override public double units() { return request.units(); }
+
+        @Override public long until() { return over || hopeless() ? now : aimAt() - 2 * TICK; }
+
+        @Override public void served(double ownUnits, long wait) {
+            own = ownUnits;
+            asking = false;
+            if (over) {
+                forget(this);
+            } else if (own >= 0) {
+                enqueue(this);
+            } else {
+                customer.refuse(this, wait * NANO, Reason.CEILING);
+            }
+        }
+
         long aimAt() { return Math.min(arrived + lane.spec.aim(), request.deadline()); }
 
         /** Nobody tells how many the others have out: a cap on these is divided, and each may have one. */
@@ -561,7 +566,7 @@
         if (waiting.isEmpty()) { return; }
         for (Job job : waiting.stream().filter(Job::hopeless).toList()) {
             waiting.remove(job);
-            giveUp(job);
+            giveUp(job, Reason.QUEUE);
         }
     }
 
@@ -575,7 +580,7 @@
             Job least = lane.queue.peek();
             for (Job job : lane.queue) { least = job.worth() <= least.worth() ? job : least; }
             lane.queue.remove(least);
-            giveUp(least);
+            giveUp(least, Reason.QUEUE);
         }
     }
 
@@ -591,7 +596,7 @@
             Job job = next.first();
             if (job.hopeless()) {
                 next.queue.remove(job);
-                giveUp(job);
+                giveUp(job, Reason.QUEUE);
                 continue;
             }
             Backend backend = choose(job);
@@ -945,7 +950,7 @@
         boolean may = mayRepeat && inTime && retryTokens >= price;
         Backend backend = may && job.attempts < cfg.limits().maxAttempts() ? choose(job) : null;
         if (backend == null) {
-            giveUp(job);
+            giveUp(job, Reason.SERVERS);
         } else {
             retryTokens -= price;
             send(job, backend);
@@ -953,11 +958,11 @@
     }
 
     /** The one final answer of a request that is not served: refused if that is true, else failed. */
-    private void giveUp(Job job) {
+    private void giveUp(Job job, Reason reason) {
         RequestClass spec = job.lane.spec;
         if (job.mayHaveRunSince == 0 || spec.repeat() == Repeat.SAFE
             || spec.repeat() == Repeat.KEYED && spec.group() == Group.ALL) {
-            out.refuse(job.request.id(), 0);
+            out.refuse(job.request.id(), 0, reason);
         } else {
             out.fail(job.request.id());
         }
@@ -968,7 +973,7 @@
     private void forget(Job job) {
         jobs.remove(job.request.id());
         if (job.attempts == 0 && job.taken) {
-            job.customer.ceiling += job.request.units();
+            if (job.own > 0) { job.customer.escrow.giveBack(now, job.own); }
             if (job.inQuota) { job.customer.take(-job.request.units()); }
         }
         job.customer.open -= job.open ? 1 : 0;
--- a/core/src/main/java/thistlefall/Ports.java
+++ b/core/src/main/java/thistlefall/Ports.java
@@ -65,6 +65,26 @@
         }
     }
 
+    /** Why a request was refused. */
+    public enum Reason {
+        /** Beyond its quota by news that is fresh. */
+        QUOTA,
+        /** Beyond its quota as estimated from news that is old. */
+        QUOTA_ESTIMATED,
+        /** Beyond this gateway's part of a quota whose count can't be heard. */
+        QUOTA_PART,
+        /** Beyond what this gateway may spend under the customer's ceiling. */
+        CEILING,
+        /** Came with too little time left to be answered within its aim. */
+        TIME,
+        /** Waited too long, or was the least worth in a queue too long. */
+        QUEUE,
+        /** No server took it within the attempts it may have. */
+        SERVERS,
+        /** Of a class or a plan that nobody knows. */
+        UNKNOWN
+    }
+
     /** What the list says of a server. */
     public enum Readiness { GONE, READY, DRAINING }
 
@@ -133,8 +153,9 @@
      * @param timeout a call without an answer by then ends as {@link Outcome#TIMEOUT}
      * @param settles whether answers tell the true units
      * @param largest the largest request, in units
+     * @param exact whether its totals hold fifteen digits, so that units under a ceiling can be lent on it
      */
-    public record Counter(boolean present, long timeout, boolean settles, double largest) {
+    public record Counter(boolean present, long timeout, boolean settles, double largest, boolean exact) {
     }
 
     /**
@@ -227,7 +248,7 @@
         void send(String id, String server, long patience);
 
         /** Final answer: refused, trying again is harmless; 0 for no advice on when. */
-        void refuse(String id, long retryAfter);
+        void refuse(String id, long retryAfter, Reason reason);
 
         /** Final answer: failed, with no promise about the effect. */
         void fail(String id);
--- a/core/src/main/java/thistlefall/ledger/Ledger.java
+++ b/core/src/main/java/thistlefall/ledger/Ledger.java
@@ -34,6 +34,7 @@
         private boolean out;
         private boolean mayHaveRun;
         private int attempts;
+        private Cause cause;
 
         private Entry(String id, RequestClass spec, long deadline) {
             this.id = id;
@@ -61,6 +62,11 @@
             return open;
         }
 
+        /** Why it was not served; null while it is open, and once it is served. */
+        public Cause cause() {
+            return cause;
+        }
+
         /** Whether an attempt is out. */
         public boolean out() {
             return out;
@@ -158,9 +164,10 @@
     /**
      * Settles a request.
      *
+     * @param cause why it is not served; null if it is
      * @return the answer to give: a refusal that would not be true becomes a failure; null if one was given before
      */
-    public Answer answer(Entry entry, Answer wanted) {
+    public Answer answer(Entry entry, Answer wanted, Cause cause) {
         if (!entry.open) {
             return null;
         }
@@ -168,13 +175,14 @@
         open--;
         wheel.cancel(entry.due);
         Answer given = wanted == Answer.REFUSED && !entry.mayBeRefused() ? Answer.FAILED : wanted;
+        entry.cause = given == wanted ? cause : Cause.EFFECT;
         forgetIfOver(entry);
         return given;
     }
 
     /** The client left: nothing is owed any more. */
     public void gone(Entry entry) {
-        answer(entry, Answer.FAILED);
+        answer(entry, Answer.FAILED, Cause.CLIENT);
     }
 
     /** Hands over each request still open this close to its deadline, with the answer that is true of it. */
--- a/core/src/test/java/thistlefall/Host.java
+++ b/core/src/test/java/thistlefall/Host.java
@@ -12,6 +12,7 @@
 import thistlefall.Ports.Outcome;
 import thistlefall.Ports.Plan;
 import thistlefall.Ports.Readiness;
+import thistlefall.Ports.Reason;
 import thistlefall.Ports.Repeat;
 import thistlefall.Ports.Request;
 import thistlefall.Ports.RequestClass;
@@ -68,7 +69,7 @@
             new RequestClass(1000 * MS, 3000 * MS, Repeat.UNSAFE, Group.ALL, 0, 0.2, 3),
             new RequestClass(1000 * MS, 3000 * MS, Repeat.KEYED, Group.ALL, 700 * MS, 0, 4)),
             List.of(plan), new Limits(4, 1000, probes, false, 0, false),
-            new Counter(counter, 50 * MS, true, 4), new Rules(10 * MS, 0.25, 10_000 * MS, 3, 2_000 * MS));
+            new Counter(counter, 50 * MS, true, 4, false), new Rules(10 * MS, 0.25, 10_000 * MS, 3, 2_000 * MS));
     }
 
     /** Servers a, b, c ... of two cells, ready since long ago. */
@@ -122,7 +123,7 @@
     }
 
     @Override
-    public void refuse(String id, long retryAfter) {
+    public void refuse(String id, long retryAfter, Reason reason) {
         refused.add(id);
     }
 
--- a/core/src/test/java/thistlefall/MechanismTest.java
+++ b/core/src/test/java/thistlefall/MechanismTest.java
@@ -139,19 +139,23 @@
             hosts.add(new Host(plan, 3, me).servers(20));
         }
         SharedCounter counter = new SharedCounter();
+        int[] ended = new int[3];
         for (int tick = 0; tick < 100 * seconds; tick++) {
             for (Host host : hosts) {
                 host.pass(10 * MS);
                 if (tick % 5 == 0) {
-                    String id = host.request(SAFE, 1);
-                    if (!host.attempts(id).isEmpty()) {
-                        host.end(id, Outcome.OK);
-                    }
+                    host.request(SAFE, 1);
                 }
             }
             if (counterAnswers) {
                 counter.answer(hosts);
             }
+            // A request may have waited for its total; each ends once it was sent.
+            for (Host host : hosts) {
+                host.sent.stream().skip(ended[hosts.indexOf(host)]).map(Host.Sent::id).toList()
+                    .forEach(id -> host.end(id, Outcome.OK));
+                ended[hosts.indexOf(host)] = host.sent.size();
+            }
         }
         return hosts.stream().mapToInt(host -> host.sent.size()).sum();
     }
--- a/core/src/test/java/thistlefall/ledger/LedgerTest.java
+++ b/core/src/test/java/thistlefall/ledger/LedgerTest.java
@@ -33,8 +33,8 @@
     @Test
     void oneAnswerAndNoMore() {
         var entry = ledger.accept(SAFE, 1000 * MS);
-        assertEquals(Answer.SERVED, ledger.answer(entry, Answer.SERVED));
-        assertNull(ledger.answer(entry, Answer.REFUSED));
+        assertEquals(Answer.SERVED, ledger.answer(entry, Answer.SERVED, null));
+        assertNull(ledger.answer(entry, Answer.REFUSED, Cause.QUEUE));
         assertEquals(0, ledger.open());
         assertEquals(0, ledger.known());
     }
@@ -52,7 +52,7 @@
     @Test
     void nothingStartsAfterTheAnswer() {
         var entry = ledger.accept(SAFE, 1000 * MS);
-        ledger.answer(entry, Answer.REFUSED);
+        ledger.answer(entry, Answer.REFUSED, Cause.QUEUE);
         assertFalse(ledger.start(entry));
     }
 
@@ -62,11 +62,11 @@
         ledger.start(proved);
         assertEquals(Answer.FAILED, Ledger.truth(proved), "one that is out may run");
         ledger.ended(proved, Outcome.CONNECT_FAILED);
-        assertEquals(Answer.REFUSED, ledger.answer(proved, Answer.REFUSED));
+        assertEquals(Answer.REFUSED, ledger.answer(proved, Answer.REFUSED, Cause.QUEUE));
         var doubtful = ledger.accept(UNSAFE, 1000 * MS);
         ledger.start(doubtful);
         ledger.ended(doubtful, Outcome.RESET);
-        assertEquals(Answer.FAILED, ledger.answer(doubtful, Answer.REFUSED));
+        assertEquals(Answer.FAILED, ledger.answer(doubtful, Answer.REFUSED, Cause.QUEUE));
     }
 
     @Test
@@ -76,7 +76,7 @@
             ledger.start(entry);
             ledger.ended(entry, Outcome.TIMEOUT);
             assertEquals(spec == EVERYWHERE ? Answer.REFUSED : Answer.FAILED, Ledger.truth(entry));
-            ledger.answer(entry, Answer.FAILED);
+            ledger.answer(entry, Answer.FAILED, Cause.QUEUE);
         }
     }
 
@@ -85,9 +85,9 @@
         var entry = ledger.accept(UNSAFE, 1000 * MS);
         ledger.start(entry);
         List<Answer> given = new ArrayList<>();
-        ledger.expire(989 * MS, (e, truth) -> given.add(ledger.answer(e, truth)));
+        ledger.expire(989 * MS, (e, truth) -> given.add(ledger.answer(e, truth, Cause.OVERDUE)));
         assertEquals(List.of(), given);
-        ledger.expire(990 * MS, (e, truth) -> given.add(ledger.answer(e, truth)));
+        ledger.expire(990 * MS, (e, truth) -> given.add(ledger.answer(e, truth, Cause.OVERDUE)));
         assertEquals(List.of(Answer.FAILED), given);
         assertEquals(1, ledger.known(), "its attempt is still out");
         ledger.ended(entry, Outcome.TIMEOUT);
@@ -101,7 +101,7 @@
         for (int i = 0; i < 1000; i++) {
             var entry = ledger.accept(SAFE, 1000 * MS);
             assertTrue(ids.add(entry.id()));
-            ledger.answer(entry, Answer.FAILED);
+            ledger.answer(entry, Answer.FAILED, Cause.QUEUE);
         }
         for (int i = 0; i < 3; i++) {
             assertTrue(ledger.hasRoom());
@@ -124,7 +124,7 @@
                 long at = now;
                 book.expire(now, (e, truth) -> {
                     assertTrue(at >= e.deadline() - 10 * MS);
-                    answers[0] += book.answer(e, truth) == null ? 0 : 1;
+                    answers[0] += book.answer(e, truth, Cause.OVERDUE) == null ? 0 : 1;
                 });
                 if (book.hasRoom() && random.nextBoolean()) {
                     live.add(book.accept(random.nextBoolean() ? UNSAFE : SAFE, now + random.nextLong(500 * MS)));
@@ -136,12 +136,12 @@
                 } else if (some != null && !book.start(some)) {
                     live.remove(some);
                 } else if (some != null && random.nextInt(3) == 0) {
-                    Answer given = book.answer(some, Answer.REFUSED);
+                    Answer given = book.answer(some, Answer.REFUSED, Cause.QUEUE);
                     answers[0] += given == null ? 0 : 1;
                     assertTrue(given != Answer.REFUSED || some.mayBeRefused(), "seed " + seed);
                 }
             }
-            book.expire(now + 2000 * MS, (e, truth) -> answers[0] += book.answer(e, truth) == null ? 0 : 1);
+            book.expire(now + 2000 * MS, (e, truth) -> answers[0] += book.answer(e, truth, Cause.OVERDUE) == null ? 0 : 1);
             assertEquals(accepted, answers[0], "seed " + seed);
         }
     }
--- a/drill/src/main/java/thistlefall/drill/SettingsReader.java
+++ b/drill/src/main/java/thistlefall/drill/SettingsReader.java
@@ -66,7 +66,7 @@
                 flag("caps.retry-after"), whole("caps.max-retry-after-ns"),
                 text("discovery").equals("subscribe")),
             new Counter(flag("domain.has-counter"), whole("domain.count-wait-ns"), flag("domain.trued-up"),
-                number("domain.units-top")),
+                number("domain.units-top"), false),
             new Rules(whole("rules.answer-slack-ns"), number("rules.cold-from"), whole("rules.ramp-time-ns"),
                 number("rules.overload-factor"), whole("rules.tip-after-ns")));
     }
--- a/drill/src/main/java/thistlefall/drill/WireWriter.java
+++ b/drill/src/main/java/thistlefall/drill/WireWriter.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.Writer;
 import thistlefall.Ports.Actions;
+import thistlefall.Ports.Reason;
 
 /** Writes actions as lines of the wire. */
 final class WireWriter {
@@ -44,7 +45,7 @@
         }
 
         @Override
-        public void refuse(String id, long retryAfter) {
+        public void refuse(String id, long retryAfter, Reason reason) {
             line("decline").append(' ').append(id).append(' ').append(retryAfter).append('\n');
         }
 
--- a/edge/src/main/java/thistlefall/edge/host/Attempt.java
+++ b/edge/src/main/java/thistlefall/edge/host/Attempt.java
@@ -31,7 +31,7 @@
     /** Answers up to this size are passed on when they are whole: one that breaks off may still be tried again. */
     private static final long HELD_WHOLE = 16 * 1024;
 
-    private final Front front;
+    private final Carrier carrier;
     private final Exchange exchange;
     private final String server;
     private final int number;
@@ -47,8 +47,8 @@
     private boolean reported;
     private DeadlineWheel.Entry<Runnable> timer;
 
-    Attempt(Front front, Exchange exchange, String server, int number) {
-        this.front = front;
+    Attempt(Carrier carrier, Exchange exchange, String server, int number) {
+        this.carrier = carrier;
         this.exchange = exchange;
         this.server = server;
         this.number = number;
@@ -63,7 +63,7 @@
     }
 
     void start(ServerPool pool, long patience) {
-        timer = front.timers().after(patience, () -> end(End.OVERDUE));
+        timer = carrier.timers().after(patience, () -> end(End.OVERDUE));
         if (number == 0) {
             exchange.client.goOn(exchange);
         }
@@ -87,7 +87,7 @@
             && (nominated == null || !nominated.contains(name)));
         HttpWriter.field(out, "Request-Attempt", Integer.toString(number));
         HttpWriter.field(out, "Request-Customer", exchange.customer);
-        HttpWriter.field(out, "Via", "1.1 " + front.name());
+        HttpWriter.field(out, "Via", "1.1 " + carrier.node());
         HttpWriter.framing(out, request.framing(), !request.method().equals("GET") && !request.method().equals("HEAD"));
         HttpWriter.end(out);
         // From the first byte on nothing proves any more that it did not run.
@@ -154,11 +154,11 @@
     }
 
     private void pass() {
-        if (front.answered(exchange)) {
+        if (carrier.answered(exchange)) {
             passing = true;
-            front.timers().cancel(timer);
+            carrier.timers().cancel(timer);
             // An answer that has begun is bound by no deadline, but must go on.
-            timer = front.timers().after(ANSWER_STALL, () -> end(End.CLOSED));
+            timer = carrier.timers().after(ANSWER_STALL, () -> end(End.CLOSED));
             exchange.client.begin(exchange, head);
         }
     }
@@ -231,7 +231,7 @@
         over = true;
         held.forEach(ByteBuf::release);
         held.clear();
-        front.timers().cancel(timer);
+        carrier.timers().cancel(timer);
         exchange.body.detach();
         if (connection != null) {
             connection.abandon();
@@ -248,7 +248,7 @@
             return;
         }
         reported = true;
-        List<Double> load = head == null ? List.of() : front.loadReport(head.fields());
-        front.attemptEnded(exchange, this, new Ended(outcome, System.nanoTime() - started, trueUnits(), load));
+        List<Double> load = head == null ? List.of() : carrier.loadReport(head.fields());
+        carrier.attemptEnded(exchange, this, new Ended(outcome, System.nanoTime() - started, trueUnits(), load));
     }
 }
--- a/edge/src/main/java/thistlefall/edge/host/ClientConnection.java
+++ b/edge/src/main/java/thistlefall/edge/host/ClientConnection.java
@@ -10,6 +10,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.function.Consumer;
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Set;
@@ -33,7 +34,8 @@
         .writeBytes("HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII))).asReadOnly();
     private static final long LINGER = 1_000_000_000L;
 
-    private final Front front;
+    private final Intake intake;
+    private final Consumer<String> log;
     private final Timers timers;
     private final LimitSettings limits;
     private final RequestDecoder decoder;
@@ -51,8 +53,9 @@
     private DeadlineWheel.Entry<Runnable> idleTimer;
     private DeadlineWheel.Entry<Runnable> stallTimer;
 
-    ClientConnection(Front front, Timers timers, LimitSettings limits, RequestDecoder decoder) {
-        this.front = front;
+    ClientConnection(Intake intake, Consumer<String> log, Timers timers, LimitSettings limits, RequestDecoder decoder) {
+        this.intake = intake;
+        this.log = log;
         this.timers = timers;
         this.limits = limits;
         this.decoder = decoder;
@@ -119,7 +122,7 @@
         try {
             Exchange first = exchanges.peek();
             while (first != null && first.route == null && !first.answered) {
-                front.begin(first);
+                intake.begin(first);
                 first = exchanges.peek();
             }
         } finally {
@@ -140,7 +143,7 @@
             Exchange broken = incoming;
             incoming = null;
             if (broken == exchanges.peek() && !broken.answered) {
-                front.bodyBroken(broken, Problem.client(fault.status(), fault.getMessage()));
+                intake.bodyBroken(broken, Problem.client(fault.status(), fault.getMessage()));
             } else {
                 exchanges.remove(broken);
             }
@@ -334,7 +337,7 @@
         stallTimer = timers.after(limits.writeStall().toNanos(), () -> {
             stallTimer = null;
             if (channel.isActive() && !channel.isWritable()) {
-                front.log("client cut off: took nothing for " + limits.writeStall().toMillis() + " ms");
+                log.accept("client cut off: took nothing for " + limits.writeStall().toMillis() + " ms");
                 channel.close();
             }
         });
@@ -361,8 +364,8 @@
         var left = new ArrayDeque<>(exchanges);
         exchanges.clear();
         incoming = null;
-        left.forEach(front::gone);
-        front.closed(this);
+        left.forEach(intake::gone);
+        intake.closed(this);
     }
 
     /** No further request is taken; the connection ends after the answers owed. */
--- a/edge/src/main/java/thistlefall/edge/host/EdgeNode.java
+++ b/edge/src/main/java/thistlefall/edge/host/EdgeNode.java
@@ -15,7 +15,6 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -37,12 +36,12 @@
      *
      * @param seed the source of the node's chance
      * @param wall the wall clock
-     * @param faults planted faults; none in service
+     * @param seams where what passes between the parts can be changed; {@link Seams#NONE} in service
      */
-    public record Options(long seed, WallClock wall, Set<Fault> faults) {
-        /** Chance from the system, the system's clock, no fault. */
+    public record Options(long seed, WallClock wall, Seams seams) {
+        /** Chance from the system, the system's clock, no change at the seams. */
         public static Options standard() {
-            return new Options(ThreadLocalRandom.current().nextLong(), WallClock.SYSTEM, Set.of());
+            return new Options(ThreadLocalRandom.current().nextLong(), WallClock.SYSTEM, Seams.NONE);
         }
     }
 
@@ -59,7 +58,7 @@
         loop = group.next();
         try {
             front = loop.submit(() -> new Front(settings, options, loop, log)).syncUninterruptibly().getNow();
-            listener = listen(settings);
+            listener = listen(settings, log);
         } catch (RuntimeException e) {
             group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
             throw e;
@@ -68,7 +67,7 @@
             .log("listening");
     }
 
-    private Channel listen(NodeSettings settings) throws IOException {
+    private Channel listen(NodeSettings settings, Logger log) throws IOException {
         var limits = Defaults.limits(settings);
         var bind = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
@@ -78,8 +77,8 @@
                 @Override
                 protected void initChannel(SocketChannel channel) {
                     var decoder = new RequestDecoder(Defaults.http(limits));
-                    var client = new ClientConnection(front, front.timers(), limits, decoder);
-                    if (front.opened(client)) {
+                    var client = new ClientConnection(front.intake(), log::info, front.timers(), limits, decoder);
+                    if (front.intake().opened(client)) {
                         channel.pipeline().addLast(decoder, client);
                     } else {
                         channel.close();
--- a/edge/src/main/java/thistlefall/edge/host/ModuleHost.java
+++ b/edge/src/main/java/thistlefall/edge/host/ModuleHost.java
@@ -34,10 +34,10 @@
     }
 
     /** Starts the module; its first actions come from within. */
-    void start(Ports.Settings settings, long seed, long now, Ports.Actions actions) {
+    void start(Ports.Settings settings, long seed, long now, Ports.Actions actions, Seams seams) {
         inside = true;
         try {
-            module = new Gateway(settings, seed, now, actions);
+            module = seams.events(new Gateway(settings, seed, now, actions));
         } finally {
             inside = false;
         }
--- a/edge/src/main/java/thistlefall/edge/host/NodeCounts.java
+++ b/edge/src/main/java/thistlefall/edge/host/NodeCounts.java
@@ -1,5 +1,9 @@
 package thistlefall.edge.host;
 
+import java.util.LinkedHashMap;
+import java.util.Map;
+import thistlefall.ledger.Cause;
+
 /** What a node has done since its start. Written on its event loop only; a reader elsewhere sees old values at worst. */
 public final class NodeCounts {
     long requests;
@@ -18,13 +22,19 @@
     long endedByLedger;
     long connectionsTurnedAway;
     long listFailures;
+    private final long[] refusedFor = new long[Cause.values().length];
 
     NodeCounts() {
     }
 
-    /** The counts by name, in a fixed order. */
-    public java.util.Map<String, Long> asMap() {
-        var map = new java.util.LinkedHashMap<String, Long>();
+    void refused(Cause cause) {
+        refused++;
+        refusedFor[cause.ordinal()]++;
+    }
+
+    /** The counts by name, in a fixed order; refusals by cause only where there are any. */
+    public Map<String, Long> asMap() {
+        var map = new LinkedHashMap<String, Long>();
         map.put("requests", requests);
         map.put("served", served);
         map.put("refused", refused);
@@ -41,6 +51,11 @@
         map.put("ended_by_ledger", endedByLedger);
         map.put("connections_turned_away", connectionsTurnedAway);
         map.put("list_failures", listFailures);
+        for (Cause cause : Cause.values()) {
+            if (refusedFor[cause.ordinal()] > 0) {
+                map.put("refused_" + cause.code().replace('-', '_'), refusedFor[cause.ordinal()]);
+            }
+        }
         return map;
     }
 }
--- a/edge/src/main/java/thistlefall/edge/host/Problem.java
+++ b/edge/src/main/java/thistlefall/edge/host/Problem.java
@@ -1,48 +1,76 @@
 package thistlefall.edge.host;
 
 import java.nio.charset.StandardCharsets;
+import thistlefall.ledger.Cause;
 
 /**
  * An answer of the node's own, with problem details by RFC 9457. The type tells a refusal, after which trying again
- * is harmless, from a failure, which promises nothing; and both from what is the client's own mistake.
+ * is harmless, from a failure, which promises nothing; and both from what is the client's own mistake. The member
+ * {@code reason} is for programs, the detail says the same to people.
  *
  * @param status the status
  * @param type last part of the problem type
  * @param title what it is
  * @param detail why
+ * @param cause why, as a code; null where the title says all
  * @param retryAfter advice to stay away so long, nanoseconds; 0 for none
  * @param authenticate value of WWW-Authenticate; null for none
  */
-record Problem(int status, String type, String title, String detail, long retryAfter, String authenticate) {
+record Problem(int status, String type, String title, String detail, Cause cause, long retryAfter, String authenticate) {
     private static final String TYPES = "urn:thistlefall:problem:";
 
-    static Problem refused(String detail, long retryAfter) {
-        return new Problem(retryAfter > 0 ? 429 : 503, "refused", "Refused; trying again is harmless", detail,
-            retryAfter, null);
+    static Problem refused(Cause cause, long retryAfter) {
+        return new Problem(cause.ofCustomer() ? 429 : 503, "refused", "Refused; trying again is harmless",
+            sentence(cause), cause, retryAfter, null);
     }
 
-    static Problem failed(String detail) {
-        return new Problem(504, "failed", "Failed; whether it took effect is unknown", detail, 0, null);
+    static Problem failed(Cause cause) {
+        return new Problem(504, "failed", "Failed; whether it took effect is unknown", sentence(cause), cause, 0, null);
     }
 
     static Problem client(int status, String detail) {
-        return new Problem(status, "request", "The request can't be taken", detail, 0, null);
+        return new Problem(status, "request", "The request can't be taken", detail, null, 0, null);
     }
 
     static Problem unauthorized(String detail, boolean hadToken) {
-        return new Problem(401, "token", "No valid token", detail, 0,
+        return new Problem(401, "token", "No valid token", detail, null, 0,
             hadToken ? "Bearer error=\"invalid_token\"" : "Bearer");
     }
 
     static Problem forbidden(String detail, String scope) {
-        return new Problem(403, "token", "The token doesn't allow this", detail, 0,
+        return new Problem(403, "token", "The token doesn't allow this", detail, null, 0,
             "Bearer error=\"insufficient_scope\"" + (scope == null ? "" : ", scope=\"" + scope + "\""));
     }
 
+    /** What a person is told; each is true in its case and says no more than is known. */
+    private static String sentence(Cause cause) {
+        return switch (cause) {
+            case QUOTA -> "the customer has used up its quota for now";
+            case QUOTA_ESTIMATED -> "by what this gateway last heard, the customer has used up its quota for now";
+            case QUOTA_PART -> "the shared count of the quota can't be heard, and this gateway's part of it is used up";
+            case CEILING -> "this gateway may spend no more under the customer's hard ceiling for now";
+            case TIME -> "too little time was left to serve it";
+            case QUEUE -> "the servers are busy and it could not be served in time";
+            case SERVERS -> "no server took it";
+            case UNKNOWN -> "its class or its plan is not known here";
+            case TOKEN -> "the token is not active";
+            case TOKEN_UNKNOWN -> "the token could not be checked in time";
+            case FULL -> "this gateway holds as many requests as it may";
+            case STOPPING -> "this gateway is stopping";
+            case OVERDUE -> "the request's time is up";
+            case CRASHED -> "an error inside this gateway";
+            case EFFECT -> "an attempt may have taken effect and can't be repeated";
+            case CLIENT -> "the request broke off";
+        };
+    }
+
     byte[] body() {
         StringBuilder text = new StringBuilder(160).append("{\"type\":\"").append(TYPES).append(type)
             .append("\",\"title\":\"").append(title).append("\",\"status\":").append(status)
             .append(",\"detail\":\"").append(detail.replace("\\", "\\\\").replace("\"", "\\\"")).append('"');
+        if (cause != null) {
+            text.append(",\"reason\":\"").append(cause.code()).append('"');
+        }
         if (retryAfter > 0) {
             text.append(",\"retry_after_ms\":").append(Math.max(1, retryAfter / 1_000_000));
         }
--- a/edge/src/main/java/thistlefall/edge/host/Routes.java
+++ b/edge/src/main/java/thistlefall/edge/host/Routes.java
@@ -10,7 +10,7 @@
 /** Finds the class and the guessed cost of a request: the first route in the settings that fits. */
 final class Routes {
     /** What a route says. */
-    record Route(int requestClass, String className, double units, String unitsField) {
+    record Route(int requestClass, String className, double units, double leastUnits, String unitsField) {
     }
 
     private record Rule(String method, String path, boolean prefix, Route route) {
@@ -31,11 +31,15 @@
             boolean prefix = route.path().endsWith("*");
             String path = prefix ? route.path().substring(0, route.path().length() - 1) : route.path();
             rules.add(new Rule(route.method(), path, prefix, new Route(classes.get(route.requestClass()),
-                route.requestClass(), route.units() == null ? 1 : route.units(),
+                route.requestClass(), units(route), route.leastUnits() == null ? Math.min(1, units(route)) : route.leastUnits(),
                 route.unitsField() == null ? null : route.unitsField().toLowerCase(Locale.ROOT))));
         }
     }
 
+    private static double units(NodeSettings.RouteSettings route) {
+        return route.units() == null ? 1 : route.units();
+    }
+
     Route find(String method, String path) {
         for (Rule rule : rules) {
             if (rule.fits(method, path)) {
--- a/edge/src/main/java/thistlefall/edge/settings/Defaults.java
+++ b/edge/src/main/java/thistlefall/edge/settings/Defaults.java
@@ -84,8 +84,9 @@
             or(p.price(), 1.0), p.beyondEarns(), or(p.beyondCosts(), 1.0), p.ceilingRate(), p.ceilingBurst(),
             p.ceilingSlack())).toList();
         var c = s.counter();
-        var counter = c == null ? new Ports.Counter(false, 50_000_000L, true, 1)
-            : new Ports.Counter(true, nanos(c.timeout(), 50_000_000L), or(c.settles(), true), or(c.largest(), 1.0));
+        var counter = c == null ? new Ports.Counter(false, 50_000_000L, true, 1, false)
+            : new Ports.Counter(true, nanos(c.timeout(), 50_000_000L), or(c.settles(), true), or(c.largest(), 1.0),
+                true);
         var r = or(s.rules(), new NodeSettings.RuleSettings(null, 0.25, null, 3, null));
         var rules = new Ports.Rules(nanos(r.answerSlack(), 16_000_000L), r.coldFrom(),
             nanos(r.coldSpan(), 20_000_000_000L), r.fallMultiple(), nanos(r.fallSpan(), 1_000_000_000L));
--- a/edge/src/main/java/thistlefall/edge/settings/NodeSettings.java
+++ b/edge/src/main/java/thistlefall/edge/settings/NodeSettings.java
@@ -43,8 +43,10 @@
      * @param requestClass name of the class
      * @param units the guess of what a request costs
      * @param unitsField a request field that tells a better guess, up to the largest request; null for none
+     * @param leastUnits the least that this field can claim; null for one, or the guess if that is less
      */
-    public record RouteSettings(String method, String path, String requestClass, Double units, String unitsField) {
+    public record RouteSettings(String method, String path, String requestClass, Double units, String unitsField,
+                                Double leastUnits) {
     }
 
     /** A plan; see {@link thistlefall.Ports.Plan}. */
--- a/edge/src/test/java/thistlefall/edge/host/ModuleHostTest.java
+++ b/edge/src/test/java/thistlefall/edge/host/ModuleHostTest.java
@@ -98,11 +98,11 @@
     @Test
     void customerNumbersAreTheSameEverywhereAndDoNotCollideHere() {
         // Written down once: a node of another version or machine must come to the same.
-        assertEquals(Front.customerNumber("agent-1"), Front.customerNumber(new String("agent-1")));
-        assertNotEquals(Front.customerNumber("agent-1"), Front.customerNumber("agent-2"));
+        assertEquals(TokenCheck.customerNumber("agent-1"), TokenCheck.customerNumber(new String("agent-1")));
+        assertNotEquals(TokenCheck.customerNumber("agent-1"), TokenCheck.customerNumber("agent-2"));
         Set<Long> seen = new HashSet<>();
         for (int i = 0; i < 1_000_000; i++) {
-            long number = Front.customerNumber("agent-" + i);
+            long number = TokenCheck.customerNumber("agent-" + i);
             assertTrue(number >= 0);
             seen.add(number);
         }
--- a/standin/src/main/java/thistlefall/standin/count/CounterServer.java
+++ b/standin/src/main/java/thistlefall/standin/count/CounterServer.java
@@ -30,7 +30,7 @@
 /**
  * A stand-in counter that speaks the part of RESP2 that a counter needs, written from Redis's published command pages:
  * PING, ECHO, MULTI, EXEC, DISCARD, GET, SET, DEL, INCRBY, INCRBYFLOAT, PEXPIRE with NX, PTTL, DBSIZE, FLUSHALL.
- * It can be silent, slow, lose a part of its counts, or die and come back empty.
+ * It can be silent, slow, have a capacity and a line, lose a part of its counts, or die and come back empty.
  */
 public final class CounterServer {
     private record Value(String text, long expiresAt) {
@@ -45,6 +45,9 @@
     private final SplittableRandom random;
     private volatile boolean silent;
     private volatile long delay;
+    private volatile double capacity;
+    /** When all transactions taken so far are worked off, as far as the capacity goes. */
+    private long freeAt;
     private Channel listener;
     private InetSocketAddress address;
 
@@ -94,6 +97,11 @@
         delay = millis;
     }
 
+    /** Carries out so many transactions a second, one after another, while the others stand in line; 0 for no bound. */
+    public void capacity(double perSecond) {
+        capacity = perSecond;
+    }
+
     /** Loses a part of its counts, by chance. */
     public void lose(double part) {
         loop.execute(() -> values.keySet().removeIf(name -> random.nextDouble() < part));
@@ -132,12 +140,19 @@
                 context.close();
                 return;
             }
+            long before = calls.get();
             command(words, out);
+            long now = System.nanoTime();
+            long wait = delay * 1_000_000;
+            if (capacity > 0 && calls.get() > before) {
+                freeAt = Math.max(freeAt, now) + (long) (1e9 / capacity);
+                wait = Math.max(wait, freeAt - now);
+            }
             if (silent) {
                 out.release();
-            } else if (delay > 0 || readyAt > System.nanoTime()) {
+            } else if (wait > 0 || readyAt > now) {
                 // Replies never overtake each other, also when it has just become quick again.
-                readyAt = Math.max(readyAt + 1, System.nanoTime() + delay * 1_000_000);
+                readyAt = Math.max(readyAt + 1, now + wait);
                 loop.schedule(() -> context.writeAndFlush(out), readyAt - System.nanoTime(), TimeUnit.NANOSECONDS);
             } else {
                 context.write(out, context.voidPromise());
--- a/standin/src/main/java/thistlefall/standin/day/Day.java
+++ b/standin/src/main/java/thistlefall/standin/day/Day.java
@@ -38,8 +38,27 @@
      * @param count how many
      * @param plan their plan
      * @param rate requests a second of each
+     * @param way how they come in through the nodes; null for {@link Way#WEIGHTED}
      */
-    public record Customers(String name, int count, String plan, double rate) {
+    public record Customers(String name, int count, String plan, double rate, Way way) {
+        /** How they come in, none left out. */
+        public Way wayOrUsual() {
+            return way == null ? Way.WEIGHTED : way;
+        }
+    }
+
+    /** How a customer's requests are spread over nodes and time. */
+    public enum Way {
+        /** Three fifths through one node, which changes every 15 s, the others by chance. */
+        WEIGHTED,
+        /** Evenly, by chance. */
+        EVEN,
+        /** All through one node. */
+        STAY,
+        /** All through one node, then at once all through the next, every 7 s. */
+        MOVE,
+        /** A whole store at once through one node, and when it has filled again through the next. */
+        BURST
     }
 
     /**
--- a/standin/src/main/java/thistlefall/standin/day/LibraryNodes.java
+++ b/standin/src/main/java/thistlefall/standin/day/LibraryNodes.java
@@ -5,7 +5,8 @@
 import java.util.Map;
 import java.util.Set;
 import thistlefall.edge.host.EdgeNode;
-import thistlefall.edge.host.Fault;
+import thistlefall.standin.fault.Fault;
+import thistlefall.standin.fault.Planted;
 import thistlefall.edge.host.WallClock;
 import thistlefall.edge.settings.NodeSettings;
 
@@ -18,7 +19,7 @@
 
     @Override
     public Running start(NodeSettings settings, long seed, Set<Fault> faults) throws IOException {
-        EdgeNode node = EdgeNode.start(settings, new EdgeNode.Options(seed, WallClock.SYSTEM, faults));
+        EdgeNode node = EdgeNode.start(settings, new EdgeNode.Options(seed, WallClock.SYSTEM, new Planted(faults)));
         return new Running() {
             @Override
             public void kill() {
--- a/standin/src/main/java/thistlefall/standin/day/NodeRunner.java
+++ b/standin/src/main/java/thistlefall/standin/day/NodeRunner.java
@@ -4,7 +4,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Set;
-import thistlefall.edge.host.Fault;
+import thistlefall.standin.fault.Fault;
 import thistlefall.edge.settings.NodeSettings;
 
 /** Runs edge nodes for a rehearsal: in this process, or each in its own. */
--- a/standin/src/main/java/thistlefall/standin/day/Rehearsal.java
+++ b/standin/src/main/java/thistlefall/standin/day/Rehearsal.java
@@ -14,11 +14,12 @@
 import thistlefall.Ports;
 import thistlefall.Ports.Plan;
 import thistlefall.Ports.RequestClass;
-import thistlefall.edge.host.Fault;
+import thistlefall.standin.fault.Fault;
 import thistlefall.edge.settings.Defaults;
 import thistlefall.edge.settings.NodeSettings;
 import thistlefall.standin.check.Checkers;
 import thistlefall.standin.check.Facts;
+import thistlefall.standin.check.QuotaMeasure;
 import thistlefall.standin.check.Verdict;
 import thistlefall.standin.load.Arrival;
 import thistlefall.standin.load.Arrivals;
@@ -33,13 +34,20 @@
      * @param answers their ends by kind
      * @param unanswered those without an answer that no dead node excuses
      * @param verdicts of the checkers
+     * @param quota how quotas were kept and granted, from the trace
+     * @param calls that the counter carried out
      * @param figures of the parts, by part
      * @param trace what was seen
      * @param traceCut whether the trace is incomplete, so that no verdict can rest on it
      */
     public record Result(Day day, long seed, String via, long requests, Map<String, Long> answers, long unanswered,
-                         List<Verdict> verdicts, Map<String, Map<String, Object>> figures, Trace trace,
+                         List<Verdict> verdicts, QuotaMeasure.Quota quota, long calls, Map<String, Map<String, Object>> figures, Trace trace,
                          boolean traceCut) {
+        /** Calls to the counter for each request. */
+        public double callsPerRequest() {
+            return requests == 0 ? 0 : (double) calls / requests;
+        }
+
         /** Whether every rule was kept, on a whole trace. */
         public boolean kept() {
             return !traceCut && verdicts.stream().allMatch(v -> v.broken() == 0);
@@ -91,18 +99,21 @@
     private static Result result(Stage stage, long seed, String via) {
         Day day = stage.day;
         List<Trace.Line> lines = stage.trace.lines();
-        List<Verdict> verdicts = Checkers.check(lines, facts(day, stage.nodeSettings(0)));
+        Facts facts = facts(day, stage.nodeSettings(0));
+        List<Verdict> verdicts = Checkers.check(lines, facts);
+        QuotaMeasure.Quota quota = QuotaMeasure.measure(lines, facts,
+            Defaults.module(stage.nodeSettings(0)).counter().largest(), day.nodes());
         long requests = lines.stream().filter(l -> l.event().equals("ask")).count();
         Map<String, Long> answers = new LinkedHashMap<>();
         for (String kind : List.of("served", "refused", "failed", "denied", "invalid", "unreached", "lost", "gave-up", "cut")) {
             answers.put(kind, lines.stream().filter(l -> l.event().equals("answer") && kind.equals(l.outcome())).count());
         }
-        return new Result(day, seed, via, requests, answers, verdicts.get(0).broken(), verdicts, figures(stage, lines),
-            stage.trace, stage.trace.cut());
+        return new Result(day, seed, via, requests, answers, verdicts.get(0).broken(), verdicts, quota,
+            stage.counter.calls(), figures(stage, lines), stage.trace, stage.trace.cut());
     }
 
     /** The figures of the rules on a day. */
-    static Facts facts(Day day, NodeSettings node) {
+    public static Facts facts(Day day, NodeSettings node) {
         Ports.Settings settings = Defaults.module(node);
         Map<String, RequestClass> classes = new HashMap<>();
         Map<String, Plan> plans = new HashMap<>();
--- a/standin/src/main/java/thistlefall/standin/day/Stage.java
+++ b/standin/src/main/java/thistlefall/standin/day/Stage.java
@@ -17,7 +17,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
-import thistlefall.edge.host.Fault;
+import thistlefall.standin.fault.Fault;
 import thistlefall.edge.settings.NodeSettings;
 import thistlefall.edge.settings.NodeSettings.ClassSettings;
 import thistlefall.standin.app.AppServer;
--- a/standin/src/main/java/thistlefall/standin/day/Troubles.java
+++ b/standin/src/main/java/thistlefall/standin/day/Troubles.java
@@ -32,6 +32,8 @@
             () -> p.stage.counter.slow(0)));
         KINDS.put("counter_down", (p, t, r) -> p.spell(t, t.size() > 0 ? p.stage.counter::die
             : p.stage.counter::dieKeeping, p.stage.counter::back));
+        KINDS.put("counter_crowded", (p, t, r) -> p.spell(t, () -> p.stage.counter.capacity(t.size()),
+            () -> p.stage.counter.capacity(0)));
         KINDS.put("flush", (p, t, r) -> p.stage.counter.lose(t.size()));
         KINDS.put("introspection_silent", (p, t, r) -> p.introspection(t, Mode.SILENT));
         KINDS.put("introspection_slow", (p, t, r) -> p.introspection(t, Mode.SLOW));
@@ -94,7 +96,12 @@
         var random = new SplittableRandom(seed);
         for (Day.Trouble trouble : stage.day.troubles()) {
             SplittableRandom own = random.split();
-            after(trouble.at().toMillis(), () -> KINDS.get(trouble.name()).begin(this, trouble, own));
+            after(trouble.at().toMillis(), () -> {
+                stage.trace.add(stage.trace.line("player", "trouble-on").outcome(trouble.name()));
+                KINDS.get(trouble.name()).begin(this, trouble, own);
+            });
+            long end = trouble.at().toMillis() + (trouble.len() == null ? 0 : trouble.len().toMillis());
+            after(end, () -> stage.trace.add(stage.trace.line("player", "trouble-off").outcome(trouble.name())));
         }
     }
 
--- /dev/null
+++ b/standin/src/main/java/thistlefall/standin/fleet/VirtualDay.java
@@ -0,0 +1,200 @@
+package thistlefall.standin.fleet;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import thistlefall.Ports;
+import thistlefall.Ports.Readiness;
+import thistlefall.Ports.Request;
+import thistlefall.Ports.Server;
+import thistlefall.edge.settings.NodeSettings;
+import thistlefall.standin.check.Checkers;
+import thistlefall.standin.check.Facts;
+import thistlefall.standin.check.QuotaMeasure;
+import thistlefall.standin.check.Verdict;
+import thistlefall.standin.load.Arrival;
+import thistlefall.standin.trace.Trace;
+
+/**
+ * A day's arrivals on virtual time: many nodes with the real decision module, one counter with a capacity, servers with
+ * room for all. No sockets, no waiting; the same day, seed and rule give the same trace. It measures what is decided
+ * about quotas at fleet sizes that no machine could play over sockets.
+ */
+public final class VirtualDay {
+    /** What decides at the nodes. */
+    public enum Rule {
+        /** The decision module. */
+        MODULE,
+        /** Each node spends its fixed part. */
+        FIXED_PARTS,
+        /** One call for each request; without an answer it is admitted. */
+        PLAIN_COUNT_OPEN,
+        /** One call for each request; without an answer it is refused. */
+        PLAIN_COUNT_CLOSED
+    }
+
+    /**
+     * Around the nodes.
+     *
+     * @param counterPerSecond calls that the counter can carry out
+     * @param counterWay the way there and back, nanoseconds
+     * @param counterLine calls that may stand in its line
+     * @param startSpread the nodes start within this span, nanoseconds
+     * @param service how long servers take, nanoseconds
+     */
+    public record Around(double counterPerSecond, long counterWay, int counterLine, long startSpread, long service) {
+        /** A quick counter beside quick servers. */
+        public static final Around EASY = new Around(50_000, 200_000L, 10_000, 1_000_000L, 30_000_000L);
+    }
+
+    /**
+     * What came of it.
+     *
+     * @param quota from the trace
+     * @param verdicts the rules, from the trace
+     * @param calls to the counter
+     * @param callsTurnedAway by its line
+     * @param requests tries
+     * @param lines the trace
+     */
+    public record Result(QuotaMeasure.Quota quota, List<Verdict> verdicts, long calls, long callsTurnedAway,
+                         long requests, List<Trace.Line> lines) {
+        /** Calls for each request. */
+        public double callsPerRequest() {
+            return requests == 0 ? 0 : (double) calls / requests;
+        }
+    }
+
+    private static final long BIRTH = 1_000_000_000_000L;
+    private static final long LEAD = 500_000_000L;
+
+    private final List<Arrival> arrivals;
+    private final List<String> classes;
+    private final List<String> plans;
+    private final Ports.Settings first;
+    private final int nodes;
+    private final Around around;
+    private final SplittableRandom random;
+    private final VirtualTime time = new VirtualTime(BIRTH);
+    private final VirtualCounter counter;
+    private final List<Admission> admissions = new ArrayList<>();
+    private final List<Trace.Line> lines = new ArrayList<>();
+    private final Map<String, Arrival> open = new HashMap<>();
+
+    private VirtualDay(NodeSettings template, List<Arrival> arrivals, int nodes, long seed, Rule rule, Around around) {
+        this.arrivals = arrivals;
+        this.nodes = nodes;
+        this.around = around;
+        random = new SplittableRandom(seed);
+        classes = template.classes().stream().map(NodeSettings.ClassSettings::name).toList();
+        plans = template.plans().stream().map(NodeSettings.PlanSettings::name).toList();
+        first = settings(template, 0);
+        counter = new VirtualCounter(time, new VirtualCounter.Model(around.counterPerSecond(), around.counterWay(),
+            around.counterLine()), first.counter().timeout());
+        var shared = new Baselines.PlainCount.Shared();
+        List<Server> servers = servers();
+        for (int i = 0; i < nodes; i++) {
+            int number = i;
+            long own = random.nextLong();
+            admissions.add(null);
+            time.after((long) (random.nextDouble() * around.startSpread()), () -> admissions.set(number, switch (rule) {
+                case MODULE -> new ModuleAdmission(time, counter, settings(template, number), own, servers,
+                    new NodeEnds(number));
+                case FIXED_PARTS -> new Baselines.FixedParts(time, first.plans(), nodes, new NodeEnds(number));
+                case PLAIN_COUNT_OPEN -> new Baselines.PlainCount(time, counter, first.plans(), shared, true,
+                    new NodeEnds(number));
+                case PLAIN_COUNT_CLOSED -> new Baselines.PlainCount(time, counter, first.plans(), shared, false,
+                    new NodeEnds(number));
+            }));
+        }
+    }
+
+    /**
+     * Plays arrivals.
+     *
+     * @param template the nodes' settings, without what tells one node from another
+     * @param facts the rules' figures, by the names in the template
+     */
+    public static Result play(NodeSettings template, Facts facts, List<Arrival> arrivals, int nodes, long seed, Rule rule,
+                              Around around) {
+        return new VirtualDay(template, arrivals, nodes, seed, rule, around).play(facts);
+    }
+
+    private Ports.Settings settings(NodeSettings template, int number) {
+        List<String> zones = template.zones();
+        var identity = new NodeSettings.Identity("edge-" + number, number, nodes, zones.get(number % zones.size()), null);
+        return thistlefall.edge.settings.Defaults.module(new NodeSettings(identity, null, zones, template.kinds(),
+            template.classes(), template.routes(), template.plans(), template.access(), template.limits(),
+            template.introspection(), template.counter(), template.servers(), template.rules()));
+    }
+
+    /** So many that the level of concurrency binds nowhere. */
+    private List<Server> servers() {
+        List<Server> servers = new ArrayList<>();
+        for (int i = 0; i < Math.max(20, 4 * nodes); i++) {
+            servers.add(new Server("s" + i, 1, i % 3, 0, 0, Readiness.READY, 0));
+        }
+        return servers;
+    }
+
+    private Result play(Facts facts) {
+        long start = BIRTH + LEAD + around.startSpread();
+        for (Arrival arrival : arrivals) {
+            time.at(start + arrival.at(), () -> ask(arrival));
+        }
+        long end = start + (arrivals.isEmpty() ? 0 : arrivals.get(arrivals.size() - 1).at()) + 10_000_000_000L;
+        time.run(end);
+        var quota = QuotaMeasure.measure(lines, facts, first.counter().largest(), nodes);
+        return new Result(quota, Checkers.check(lines, facts), counter.calls(), counter.turnedAway(), arrivals.size(),
+            lines);
+    }
+
+    private Trace.Line line(String who, String event, String id, Arrival arrival, double units) {
+        return Trace.Line.of(time.now() - BIRTH, who, event).request(id, arrival.op(), null)
+            .between("edge-" + arrival.node(), who.equals("server") ? "s" : null)
+            .of(arrival.requestClass(), arrival.customer(), arrival.plan(), units);
+    }
+
+    private void ask(Arrival arrival) {
+        String id = arrival.op() + "/0";
+        open.put(id, arrival);
+        lines.add(line("client", "ask", id, arrival, arrival.units()).within(arrival.patience()));
+        Admission node = admissions.get(arrival.node());
+        node.request(new Request(id, classes.indexOf(arrival.requestClass()), plans.indexOf(arrival.plan()),
+            number(arrival.customer()), time.now() + arrival.patience(), arrival.units(), nodes, 0, false));
+    }
+
+    private static long number(String customer) {
+        return com.dynatrace.hash4j.hashing.Hashing.xxh3_64().hashCharsToLong(customer) >>> 1;
+    }
+
+    private final class NodeEnds implements Admission.Ends {
+        private final int node;
+
+        private NodeEnds(int node) {
+            this.node = node;
+        }
+
+        @Override
+        public void sent(String id) {
+            Arrival arrival = open.get(id);
+            lines.add(line("server", "got", id, arrival, arrival.units()));
+            double units = Math.max(1, Math.rint(arrival.units() * (0.6 + 0.8 * random.nextDouble())));
+            long took = (long) (around.service() * (0.7 + 0.6 * random.nextDouble()));
+            time.after(took, () -> {
+                lines.add(line("server", "done", id, arrival, units));
+                lines.add(line("client", "answer", id, arrival, arrival.units()).outcome("served"));
+                open.remove(id);
+                admissions.get(node).done(id, units, took);
+            });
+        }
+
+        @Override
+        public void refused(String id, String reason) {
+            Arrival arrival = open.remove(id);
+            lines.add(line("client", "answer", id, arrival, arrival.units()).outcome("refused").reason(reason));
+        }
+    }
+}
--- a/standin/src/main/java/thistlefall/standin/load/Arrivals.java
+++ b/standin/src/main/java/thistlefall/standin/load/Arrivals.java
@@ -23,6 +23,10 @@
             for (int i = 0; i < kind.count(); i++) {
                 String customer = kind.name() + "-" + i;
                 var own = random.split();
+                if (kind.wayOrUsual() == Day.Way.BURST) {
+                    bursts(day, kind, customer, largest, own, arrivals);
+                    continue;
+                }
                 // Independent clients: exponential gaps; the spread over the nodes is uneven and shifts.
                 double at = -Math.log(1 - own.nextDouble()) / kind.rate();
                 for (int n = 0; at < day.length().toNanos() / 1e9; n++) {
@@ -40,6 +44,26 @@
         return arrivals;
     }
 
+    /** The whole store within a tenth of a second, at a moment when it is surely full. */
+    private static void bursts(Day day, Day.Customers kind, String customer, int largest, SplittableRandom own,
+                               List<Arrival> into) {
+        var plan = day.settings().plans().stream().filter(p -> p.name().equals(kind.plan())).findFirst().orElseThrow();
+        double every = 1.5 * plan.burst() / plan.rate();
+        int n = 0;
+        int round = 0;
+        for (double at = every * own.nextDouble(); at < day.length().toNanos() / 1e9; at += every) {
+            int node = Math.floorMod(customer.hashCode() + round++, day.nodes());
+            // What the answers tell may be more than the guesses; the burst stays within the store all the same.
+            for (double left = 0.6 * plan.burst(); left >= 1;) {
+                Arrival drawn = arrival(day, kind, customer, n++, at + 0.1 * own.nextDouble(),
+                    (int) Math.min(left, largest), own);
+                left -= drawn.units();
+                into.add(new Arrival(drawn.at(), drawn.op(), customer, drawn.plan(), drawn.requestClass(),
+                    drawn.units(), drawn.patience(), node));
+            }
+        }
+    }
+
     private static void hot(Day day, Day.Trouble trouble, int largest, SplittableRandom own, List<Arrival> into) {
         Day.Customers kind = day.customers().stream().filter(k -> k.plan().equals(trouble.target())).findFirst()
             .orElse(day.customers().get(0));
@@ -58,12 +82,24 @@
         ClassSettings spec = day.settings().classes().stream().filter(c -> c.name().equals(name)).findFirst()
             .orElseThrow(() -> new IllegalArgumentException("mix names the class " + name + ", which is unknown"));
         double share = day.patience().get(0) + (day.patience().get(1) - day.patience().get(0)) * random.nextDouble();
-        int busiest = (int) Math.floorMod(customer.hashCode() + (long) (at / 15), (long) day.nodes());
-        int node = random.nextDouble() < 0.6 ? busiest : random.nextInt(day.nodes());
+        int node = node(day, kind.wayOrUsual(), customer, at, random);
         return new Arrival((long) (at * 1e9), customer + "." + n, customer, kind.plan(), name,
             1 + random.nextInt(largest), (long) (spec.deadline().toNanos() * share), node);
     }
 
+    private static int node(Day day, Day.Way way, String customer, double at, SplittableRandom random) {
+        long home = customer.hashCode();
+        return switch (way) {
+            case WEIGHTED -> {
+                int busiest = (int) Math.floorMod(home + (long) (at / 15), (long) day.nodes());
+                yield random.nextDouble() < 0.6 ? busiest : random.nextInt(day.nodes());
+            }
+            case EVEN -> random.nextInt(day.nodes());
+            case STAY, BURST -> (int) Math.floorMod(home, (long) day.nodes());
+            case MOVE -> (int) Math.floorMod(home + (long) (at / 7), (long) day.nodes());
+        };
+    }
+
     private static String draw(Map<String, Double> mix, SplittableRandom random) {
         double left = random.nextDouble() * mix.values().stream().mapToDouble(d -> d).sum();
         String last = null;
--- a/standin/src/main/java/thistlefall/standin/load/LoadClients.java
+++ b/standin/src/main/java/thistlefall/standin/load/LoadClients.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.HdrHistogram.Histogram;
 import thistlefall.Ports.Group;
 import thistlefall.Ports.Repeat;
@@ -27,6 +29,7 @@
     public record Abuse(String plan, int furtherTries, double patienceShare) {
     }
 
+    private static final Pattern REASON = Pattern.compile("\"reason\":\"([a-z-]+)\"");
     private static final int MAX_BODY = 1 << 20;
     /** How much longer than its patience a client waits to see whether an answer still comes. */
     private static final long LATE = 800_000_000L;
@@ -136,7 +139,8 @@
                           boolean abusive, Call.Reply reply) {
         String outcome = outcome(reply);
         trace.add(trace.line("client", "answer").request(id, arrival.op(), null).between(node, null)
-            .of(arrival.requestClass(), arrival.customer(), arrival.plan(), arrival.units()).outcome(outcome));
+            .of(arrival.requestClass(), arrival.customer(), arrival.plan(), arrival.units()).outcome(outcome)
+            .reason(reason(reply)));
         if (outcome.equals("denied")) {
             tokens.renew(arrival.customer(), arrival.plan(), token);
         }
@@ -161,6 +165,15 @@
         };
     }
 
+    /** The code in a node's own answer; null if there is none. */
+    private static String reason(Call.Reply reply) {
+        if (reply.end() != End.ANSWER || !"application/problem+json".equals(reply.fields().get("content-type"))) {
+            return null;
+        }
+        Matcher found = REASON.matcher(Call.text(reply));
+        return found.find() ? found.group(1) : null;
+    }
+
     /** What a client takes an answer for. */
     static String outcome(Call.Reply reply) {
         if (reply.end() == End.OVERDUE) {
--- a/standin/src/test/java/thistlefall/standin/EdgeNodeTest.java
+++ b/standin/src/test/java/thistlefall/standin/EdgeNodeTest.java
@@ -67,7 +67,8 @@
             await(expired);
             end.play(s, socket);
         }); var node = new NodeUnderTest(server.port())) {
-            double soon = Math.ceil(System.currentTimeMillis() / 1e3) + 1;
+            // A whole second, late enough to be known before and early enough before the attempt is overdue.
+            double soon = Math.ceil(System.currentTimeMillis() / 1e3 + 0.4);
             node.introspection.issue("dying", new Token("agent-4", "basic", "book", soon));
             var answer = new AtomicReference<String>();
             new Thread(() -> answer.set(node.post("/unsafe", "dying", "", "{}"))).start();
--- a/standin/src/test/java/thistlefall/standin/NodeUnderTest.java
+++ b/standin/src/test/java/thistlefall/standin/NodeUnderTest.java
@@ -11,12 +11,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import thistlefall.Ports.Group;
 import thistlefall.Ports.Repeat;
 import thistlefall.edge.host.EdgeNode;
+import thistlefall.edge.host.Seams;
 import thistlefall.edge.host.WallClock;
 import thistlefall.edge.settings.NodeSettings;
 import thistlefall.standin.auth.IntrospectionServer;
@@ -39,7 +39,7 @@
         introspection.issue("good", new IntrospectionServer.Token("agent-1", "basic", "book", 0));
         list = Files.createTempFile("servers", ".json");
         servers(ports);
-        node = EdgeNode.start(settings(counter), new EdgeNode.Options(3, WallClock.SYSTEM, Set.of()));
+        node = EdgeNode.start(settings(counter), new EdgeNode.Options(3, WallClock.SYSTEM, Seams.NONE));
         // A server that reports no error is listed within the file's period.
         until(() -> get("/ready", "good", "").startsWith("HTTP/1.1 404") && node.counts().get("requests") > 0);
         sleepUntilListed();
@@ -65,7 +65,7 @@
             new NodeSettings.ClassSettings("safe", ms(1500), ms(2000), Repeat.SAFE, null, null, 0.5, 1, "book"),
             new NodeSettings.ClassSettings("keyed", ms(1500), ms(2000), Repeat.KEYED, Group.CELL, ms(1500), 0.5, 1, null),
             new NodeSettings.ClassSettings("unsafe", ms(1500), ms(2000), Repeat.UNSAFE, null, null, 0.5, 1, null));
-        var routes = classes.stream().map(c -> new NodeSettings.RouteSettings(null, "/" + c.name(), c.name(), 1.0, null))
+        var routes = classes.stream().map(c -> new NodeSettings.RouteSettings(null, "/" + c.name(), c.name(), 1.0, null, null))
             .toList();
         var plans = List.of(new NodeSettings.PlanSettings("basic", 0, 0, 0, 1.0, 0, 0.0, 0, 0, 0));
         var limits = new NodeSettings.LimitSettings(3, 1000, 100, 4, 1024, 4096, 50, 1L << 20, 4096, ms(500), ms(60_000),
--- /dev/null
+++ b/standin/src/test/java/thistlefall/standin/QuotaMeasureTest.java
@@ -0,0 +1,78 @@
+package thistlefall.standin;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import thistlefall.Ports.Plan;
+import thistlefall.standin.check.Facts;
+import thistlefall.standin.check.QuotaMeasure;
+import thistlefall.standin.trace.Trace;
+
+/** The measure itself: it finds what was refused with room and what was sent on without. */
+class QuotaMeasureTest {
+    private static final long MS = 1_000_000L;
+    private final List<Trace.Line> lines = new ArrayList<>();
+
+    private static Facts facts(double beyondEarns) {
+        return new Facts(Map.of(), Map.of("p", new Plan(10, 4, 0, 1, beyondEarns, 0.5, 0, 0, 0)), 0, 0, 0, 0, 0);
+    }
+
+    private void tried(String id, long ms, double units, String outcome, String reason) {
+        lines.add(line(ms, "client", "ask", id, units));
+        lines.add(line(ms + 1, "client", "answer", id, units).outcome(outcome).reason(reason));
+        if (outcome.equals("served")) {
+            lines.add(line(ms, "server", "got", id, units));
+        }
+    }
+
+    private static Trace.Line line(long ms, String who, String event, String id, double units) {
+        return Trace.Line.of(ms * MS, who, event).request(id, id, null).of("c", "agent", "p", units);
+    }
+
+    private QuotaMeasure.Quota measure(double beyondEarns) {
+        lines.sort(Comparator.comparingLong(Trace.Line::t));
+        return QuotaMeasure.measure(lines, facts(beyondEarns), 2, 1);
+    }
+
+    @Test
+    void aRefusalWithRoomCountsAndOneWithoutDoesNot() {
+        tried("a", 0, 3, "served", null);
+        tried("b", 10, 3, "refused", "quota");
+        tried("c", 20, 1, "refused", "ceiling");
+        lines.add(Trace.Line.of(500 * MS, "player", "trouble-on").outcome("counter_silent"));
+        tried("d", 600, 3, "refused", "quota-part");
+        lines.add(Trace.Line.of(700 * MS, "player", "trouble-off").outcome("counter_silent"));
+        tried("e", 3000, 3, "served", null);
+        QuotaMeasure.Quota quota = measure(0);
+        assertEquals(5, quota.tries());
+        assertEquals(4, quota.triesWithRoom());
+        assertEquals(2, quota.refusedWithRoom());
+        assertEquals(Map.of("ceiling", 1L, "quota-part", 1L), quota.byReason());
+        assertEquals(new QuotaMeasure.Part(1, 1), quota.byTrouble().get("counter_silent"));
+        assertEquals(new QuotaMeasure.Part(1, 3), quota.byTrouble().get("none"));
+        assertEquals(0, quota.customersBeyond());
+    }
+
+    @Test
+    void whatIsSentOnWithoutRoomIsBeyondUnlessItIsWelcome() {
+        tried("a", 0, 4, "served", null);
+        tried("b", 0, 2, "served", null);
+        tried("c", 0, 1, "served", null);
+        QuotaMeasure.Quota quota = measure(0);
+        assertEquals(3, quota.unitsBeyond(), 1e-9);
+        assertEquals(1, quota.customersBeyond(), "more than a largest request");
+        assertEquals(0, measure(0.6).unitsBeyond(), 1e-9);
+    }
+
+    @Test
+    void theTrueUnitsTakeThePlaceOfTheGuess() {
+        tried("a", 0, 4, "served", null);
+        lines.add(line(2, "server", "done", "a", 1));
+        tried("b", 3, 3, "refused", "quota");
+        assertEquals(1, measure(0).refusedWithRoom());
+    }
+}
--- /dev/null
+++ b/standin/src/test/java/thistlefall/standin/VirtualDayTest.java
@@ -0,0 +1,107 @@
+package thistlefall.standin;
+
+import static java.time.Duration.ofMillis;
+import static java.time.Duration.ofSeconds;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import thistlefall.Ports.Repeat;
+import thistlefall.edge.settings.NodeSettings;
+import thistlefall.standin.app.AppSpec;
+import thistlefall.standin.day.Day;
+import thistlefall.standin.day.Rehearsal;
+import thistlefall.standin.fleet.VirtualDay;
+import thistlefall.standin.fleet.VirtualDay.Around;
+import thistlefall.standin.fleet.VirtualDay.Rule;
+import thistlefall.standin.load.Arrivals;
+
+/** Quotas and ceilings over fleets on virtual time, with the real decision code. */
+class VirtualDayTest {
+    private static final long SEED = 7;
+
+    private static NodeSettings settings(int nodes) {
+        var classes = List.of(new NodeSettings.ClassSettings("lookup", ofMillis(800), ofSeconds(3), Repeat.SAFE, null, null,
+            0, 1, null));
+        var plans = List.of(new NodeSettings.PlanSettings("basic", 4, 16, 0, 0.7, 0, 1.2, 0, 0, 0),
+            new NodeSettings.PlanSettings("metered", 10, 25, 0, 1.5, 0, 0.8, 12, 36, 4));
+        return new NodeSettings(new NodeSettings.Identity("edge-0", 0, nodes, "hall-a", null), null, List.of("hall-a"), null,
+            classes, List.of(), plans, null, null, null, new NodeSettings.CounterSettings(List.of(), ofMillis(50), true, 4.0),
+            new NodeSettings.ServerSettings(null, null, null, false, null, null, null, null, null, null), null);
+    }
+
+    private static VirtualDay.Result play(int nodes, Rule rule, Around around, Day.Customers... customers) {
+        Day day = new Day("v", "", SEED, ofSeconds(30), nodes, settings(nodes), List.<AppSpec>of(), Map.of(),
+            List.of(customers), Map.of("lookup", 1.0), 0, ofMillis(100), List.of(0.5, 1.0), ofMillis(250), ofMillis(400),
+            List.of());
+        return VirtualDay.play(day.settings(), Rehearsal.facts(day, day.settings()), Arrivals.draw(day, SEED), nodes, SEED,
+            rule, around);
+    }
+
+    private static void rulesKept(VirtualDay.Result result) {
+        result.verdicts().forEach(v -> assertEquals(0, v.broken(), "rule " + v.rule() + ": " + v.first()));
+        assertTrue(result.verdicts().get(4).checked() > 0, "a ceiling was put to the test");
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {3, 30})
+    void whoeverStaysInsideIsServed(int nodes) {
+        var result = play(nodes, Rule.MODULE, Around.EASY, new Day.Customers("b", 40, "basic", 0.96, null),
+            new Day.Customers("m", 8, "metered", 2.4, null));
+        rulesKept(result);
+        assertTrue(result.quota().refusedPart() <= 0.01, "refused with room: " + result.quota());
+        assertEquals(0, result.quota().customersBeyond(), result.quota().toString());
+        assertTrue(result.callsPerRequest() < 2, "calls a request: " + result.callsPerRequest());
+        var fixed = play(nodes, Rule.FIXED_PARTS, Around.EASY, new Day.Customers("b", 40, "basic", 0.96, null),
+            new Day.Customers("m", 8, "metered", 2.4, null));
+        assertTrue(fixed.quota().refusedPart() > 5 * result.quota().refusedPart(), "fixed parts: " + fixed.quota());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"EVEN", "STAY", "MOVE", "BURST"})
+    void sharesFollowTheDemand(String way) {
+        var result = play(3, Rule.MODULE, Around.EASY, new Day.Customers("m", 6, "metered", 2.4, Day.Way.valueOf(way)));
+        rulesKept(result);
+        // An account begins with nothing: the first burst of each customer finds it so.
+        assertTrue(result.quota().refusedPart() <= (way.equals("BURST") ? 0.08 : 0.05), way + ": " + result.quota());
+    }
+
+    @Test
+    void atTheEdgeOfQuotaAndCeilingNeitherIsPassed() {
+        for (int nodes : new int[] {3, 30}) {
+            var result = play(nodes, Rule.MODULE, Around.EASY, new Day.Customers("m", 4, "metered", 12, Day.Way.EVEN));
+            rulesKept(result);
+            // All may let a largest request in on one total, and one more on what the answers then tell.
+            assertTrue(result.quota().worstBeyond() <= 4 * (nodes + 1), nodes + ": " + result.quota());
+        }
+    }
+
+    @Test
+    void fourHundredThatStartTogetherDoNotRunOverAModestCounter() {
+        var around = new Around(1_500, 1_000_000L, 200, 1_000_000_000L, 30_000_000L);
+        var result = play(400, Rule.MODULE, around, new Day.Customers("b", 150, "basic", 0.96, null),
+            new Day.Customers("m", 8, "metered", 2.4, null));
+        rulesKept(result);
+        assertEquals(0, result.callsTurnedAway());
+        assertTrue(result.quota().refusedPart() <= 0.1, "refused with room: " + result.quota());
+    }
+
+    @Test
+    void theSameSeedGivesTheSameTrace() {
+        var once = play(3, Rule.MODULE, Around.EASY, new Day.Customers("m", 4, "metered", 2.4, null));
+        var again = play(3, Rule.MODULE, Around.EASY, new Day.Customers("m", 4, "metered", 2.4, null));
+        assertEquals(once.lines(), again.lines());
+    }
+
+    @Test
+    void noNewsAtAllIsNotTakenForRoom() {
+        // A counter so slow that no call is answered in time.
+        var around = new Around(5, 200_000_000L, 10, 1_000_000L, 30_000_000L);
+        var result = play(3, Rule.MODULE, around, new Day.Customers("m", 4, "metered", 8, Day.Way.EVEN));
+        rulesKept(result);
+    }
+}
