--- a/core/src/main/java/thistlefall/count/QuotaStore.java
+++ b/core/src/main/java/thistlefall/count/QuotaStore.java
@@ -18,6 +18,8 @@
     /** How empty a busy store is taken to be; and how many gateways hear enough of each other to need no such guess. */
     private static final double BUSY = 0.8;
     private static final double FEW = 3;
+    /** Of the rate: what others use beyond this is a burst, and not taken as even. */
+    private static final double CALM = 1.1;
 
     private final double rate;
     private final double burst;
@@ -164,7 +166,7 @@
         // Too little foreseen let the store run over: over a short while of news told whole, their use is taken as
         // even, and that is made good; else it may have come all at the end.
         double more = theirs - foreseen;
-        if (s < span * NANO && part > 0.8) {
+        if (s < span * NANO && part > 0.8 && othersRate < CALM * rate) {
             more -= Math.max(0, Math.min(spilled, more));
         }
         // What was sent beyond the quota took nothing from the store: it cannot be far below nothing.
