A stand-in killed from another thread resets its sockets on their own loop

Cause: ConsulListTest ended once with ConcurrentModificationException (the source was stopped off its loop) and once with "Socket is closed": HttpStand.kill set an option on a socket that its loop closed in the same moment.

--- a/edge/src/main/java/thistlefall/edge/upstream/ServerPool.java
+++ b/edge/src/main/java/thistlefall/edge/upstream/ServerPool.java
@@ -159,8 +159,9 @@
     /** Closes what is idle, now and from now on; what is in use goes on to its end. */
     public void drain() {
         draining = true;
-        idle.forEach(connection -> connection.channel().close());
-        idle.clear();
+        for (ServerConnection kept = idle.pollFirst(); kept != null; kept = idle.pollFirst()) {
+            kept.channel().close();
+        }
     }
 
     /** Ends a drain: the server is back. */
--- a/standin/src/main/java/thistlefall/standin/net/HttpStand.java
+++ b/standin/src/main/java/thistlefall/standin/net/HttpStand.java
@@ -172,14 +172,23 @@
             listener.close();
             listener = null;
         }
+        // Each on its own loop: elsewhere a socket may be closed between the look at it and its last option.
         open.forEach(channel -> {
-            if (channel instanceof SocketChannel socket && socket.isActive()) {
-                socket.config().setSoLinger(0);
+            if (channel.eventLoop().inEventLoop()) {
+                reset(channel);
+            } else {
+                channel.eventLoop().execute(() -> reset(channel));
             }
-            channel.close();
         });
     }
 
+    private static void reset(Channel channel) {
+        if (channel instanceof SocketChannel socket && socket.isActive()) {
+            socket.config().setSoLinger(0);
+        }
+        channel.close();
+    }
+
     /** Listens again where it did. Must not be called on the loop. */
     public final void relisten() {
         listen(address.getHostString(), address.getPort());
--- a/standin/src/test/java/thistlefall/standin/ConsulListTest.java
+++ b/standin/src/test/java/thistlefall/standin/ConsulListTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.URI;
@@ -23,6 +24,7 @@
 /** The blocking query against the stand-in, in good and bad times. */
 class ConsulListTest {
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
     private final ListServer server = new ListServer(group.next(), null, null, new Trace(), peer -> peer);
     private final List<String> lists = new CopyOnWriteArrayList<>();
     private final AtomicInteger failures = new AtomicInteger();
@@ -30,7 +32,7 @@
 
     private void start() {
         server.listen("127.0.0.1", 0);
-        source = new ConsulList(group.next(), URI.create("http://127.0.0.1:" + server.address().getPort()), "app",
+        source = new ConsulList(loop, URI.create("http://127.0.0.1:" + server.address().getPort()), "app",
             new ListReader(List.of("z"), List.of("k")), 5, null);
         source.start(new ListSource.Listener() {
             @Override
@@ -53,7 +55,8 @@
 
     @AfterEach
     void end() {
-        source.stop();
+        // Its connections belong to the loop.
+        loop.submit(source::stop).syncUninterruptibly();
         server.kill();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
