Escrow copies by clone and mixes its key once; one customer number, one settling baseline

Read again: the escrow's copy for explorations listed thirty fields by hand, its phase was mixed anew with each look at the time, VirtualDay hashed customers by a line of its own beside TokenCheck, and the two baselines kept the same book of what is out.

--- a/core/src/main/java/thistlefall/lease/Escrow.java
+++ b/core/src/main/java/thistlefall/lease/Escrow.java
@@ -19,7 +19,7 @@
  * {@link #GUARD} and a lost account isn't begun by both a mark and a confirmation of its former life. Times are
  * nanoseconds of the shared time line. Not safe for several threads.
  */
-public final class Escrow {
+public final class Escrow implements Cloneable {
     /** How much clocks may differ. */
     public static final long GUARD = 100_000_000L;
     private static final double NANO = 1e-9;
@@ -49,7 +49,9 @@
 
     private final Figures figures;
     private final Account account;
-    private final long key;
+    /** The customer's key, mixed; and by how much its periods begin earlier than others'. */
+    private final long mixed;
+    private final long phase;
     private double kept;
     private long keptAt;
     private double held;
@@ -89,44 +91,21 @@
      */
     public Escrow(Figures figures, long key, long born) {
         this.figures = figures;
-        this.key = key;
+        mixed = mix(key);
+        // Accounts of different customers end at different moments.
+        phase = Math.floorMod(mixed, figures.period());
         account = new Account(figures);
         keptAt = born;
         rateAt = born;
     }
 
-    /** A copy, for exploring what may come of a state. */
-    public Escrow(Escrow other) {
-        figures = other.figures;
-        account = other.account;
-        key = other.key;
-        kept = other.kept;
-        keptAt = other.keptAt;
-        held = other.held;
-        heldUntil = other.heldUntil;
-        rate = other.rate;
-        rateAt = other.rateAt;
-        period = other.period;
-        todo = other.todo;
-        known = other.known;
-        level = other.level;
-        levelAt = other.levelAt;
-        mark = other.mark;
-        found = other.found;
-        junk = other.junk;
-        reserved = other.reserved;
-        reservedUsed = other.reservedUsed;
-        reservedMark = other.reservedMark;
-        reservedAt = other.reservedAt;
-        credit = other.credit;
-        stuckSince = other.stuckSince;
-        serial = other.serial;
-        restUntil = other.restUntil;
-        out = other.out;
-        outPeriod = other.outPeriod;
-        outAt = other.outAt;
-        outAmount = other.outAmount;
-        excess = other.excess;
+    /** A copy, for exploring what may come of a state. All that it holds is a value, or never changes. */
+    public Escrow copy() {
+        try {
+            return (Escrow) clone();
+        } catch (CloneNotSupportedException e) {
+            throw new AssertionError(e);
+        }
     }
 
     /** Whether units can be lent at all. */
@@ -240,7 +219,8 @@
         outPeriod = index;
         outAt = now;
         outAmount = amount;
-        return new Call(serial, name(out == Step.DRAIN ? index - 1 : index), amount + (out == Step.BURN ? excess : 0), 2 * figures.period());
+        long name = name(out == Step.DRAIN ? index - 1 : index);
+        return new Call(serial, name, amount + (out == Step.BURN ? excess : 0), 2 * figures.period());
     }
 
     /** The call that was out has ended; {@code answered} with this total, or not at all. */
@@ -351,20 +331,15 @@
     }
 
     private long index(long now) {
-        return Math.floorDiv(now + phase(), figures.period());
+        return Math.floorDiv(now + phase, figures.period());
     }
 
     private long sinceStart(long now, long index) {
-        return now + phase() - index * figures.period();
-    }
-
-    /** Accounts of different customers end at different moments. */
-    private long phase() {
-        return Math.floorMod(mix(key), figures.period());
+        return now + phase - index * figures.period();
     }
 
     private long name(long index) {
-        return mix(mix(key) ^ mix(index)) >>> 1;
+        return mix(mixed ^ mix(index)) >>> 1;
     }
 
     /** Stafford's variant 13 of the finalizer of MurmurHash3. */
--- a/core/src/test/java/thistlefall/lease/EscrowExplorationTest.java
+++ b/core/src/test/java/thistlefall/lease/EscrowExplorationTest.java
@@ -51,7 +51,7 @@
 
         private World(World other) {
             for (int i = 0; i < 2; i++) {
-                gateways[i] = new Escrow(other.gateways[i]);
+                gateways[i] = other.gateways[i].copy();
             }
             counter.putAll(other.counter);
             out.addAll(other.out);
--- a/edge/src/main/java/thistlefall/edge/host/TokenCheck.java
+++ b/edge/src/main/java/thistlefall/edge/host/TokenCheck.java
@@ -1,6 +1,5 @@
 package thistlefall.edge.host;
 
-import com.dynatrace.hash4j.hashing.Hashing;
 import io.netty.channel.EventLoop;
 import java.net.URI;
 import java.util.HashMap;
@@ -10,6 +9,7 @@
 import thistlefall.edge.http.Fields;
 import thistlefall.edge.settings.Defaults;
 import thistlefall.edge.settings.NodeSettings;
+import thistlefall.edge.token.CustomerNumber;
 import thistlefall.edge.token.IntrospectionClient;
 import thistlefall.edge.token.TokenDigest;
 import thistlefall.ledger.Answer;
@@ -128,19 +128,11 @@
         }
         var granted = (Access.Decision.Entitled) decision;
         exchange.customer = printable(granted.customer());
-        entitled.entitled(exchange, customerNumber(granted.customer()), granted.plan());
+        entitled.entitled(exchange, CustomerNumber.of(granted.customer()), granted.plan());
     }
 
     private static String printable(String name) {
         boolean plain = name.chars().allMatch(c -> c > 0x20 && c < 0x7F);
         return plain ? name : name.replaceAll("[^\\x21-\\x7E]", "_");
     }
-
-    /**
-     * The number under which the counter knows a customer: 63 bits of XXH3 of its name, the same on every node and in
-     * every life. Two of a million customers share one with a chance of 5.4e-8.
-     */
-    static long customerNumber(String name) {
-        return Hashing.xxh3_64().hashCharsToLong(name) >>> 1;
-    }
 }
--- a/edge/src/test/java/thistlefall/edge/host/ModuleHostTest.java
+++ b/edge/src/test/java/thistlefall/edge/host/ModuleHostTest.java
@@ -17,6 +17,7 @@
 import thistlefall.Ports.Request;
 import thistlefall.Ports.Result;
 import thistlefall.Ports.Server;
+import thistlefall.edge.token.CustomerNumber;
 
 class ModuleHostTest {
     /** A module that notes its timers and throws on token 13. */
@@ -98,11 +99,11 @@
     @Test
     void customerNumbersAreTheSameEverywhereAndDoNotCollideHere() {
         // Written down once: a node of another version or machine must come to the same.
-        assertEquals(TokenCheck.customerNumber("agent-1"), TokenCheck.customerNumber(new String("agent-1")));
-        assertNotEquals(TokenCheck.customerNumber("agent-1"), TokenCheck.customerNumber("agent-2"));
+        assertEquals(CustomerNumber.of("agent-1"), CustomerNumber.of(new String("agent-1")));
+        assertNotEquals(CustomerNumber.of("agent-1"), CustomerNumber.of("agent-2"));
         Set<Long> seen = new HashSet<>();
         for (int i = 0; i < 1_000_000; i++) {
-            long number = TokenCheck.customerNumber("agent-" + i);
+            long number = CustomerNumber.of("agent-" + i);
             assertTrue(number >= 0);
             seen.add(number);
         }
--- a/standin/src/main/java/thistlefall/standin/fleet/Baselines.java
+++ b/standin/src/main/java/thistlefall/standin/fleet/Baselines.java
@@ -1,6 +1,7 @@
 package thistlefall.standin.fleet;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import thistlefall.Ports.Outcome;
 import thistlefall.Ports.Plan;
@@ -38,52 +39,65 @@
         }
     }
 
-    /** Each node holds its fixed part of each quota, one over their number, and asks nobody. */
-    static final class FixedParts implements Admission {
-        private final VirtualTime time;
-        private final java.util.List<Plan> plans;
-        private final int nodes;
-        private final Admission.Ends ends;
-        private final Map<Long, Bucket> buckets = new HashMap<>();
+    /** A node that takes from buckets what it admits, and settles with them once the true units are told. */
+    private abstract static class Bucketed implements Admission {
+        final Map<Long, Bucket> buckets;
+        final Admission.Ends ends;
         private final Map<String, Request> out = new HashMap<>();
 
-        FixedParts(VirtualTime time, java.util.List<Plan> plans, int nodes, Admission.Ends ends) {
-            this.time = time;
-            this.plans = plans;
-            this.nodes = nodes;
+        private Bucketed(Map<Long, Bucket> buckets, Admission.Ends ends) {
+            this.buckets = buckets;
             this.ends = ends;
         }
 
+        final void admit(Request request) {
+            out.put(request.id(), request);
+            ends.sent(request.id());
+        }
+
         @Override
-        public void kill() {
+        public final void kill() {
             out.clear();
         }
 
+        @Override
+        public final void done(String id, double trueUnits, long took) {
+            Request request = out.remove(id);
+            Bucket bucket = request == null ? null : buckets.get(request.customer());
+            if (bucket != null) {
+                bucket.giveBack(request.units() - trueUnits);
+            }
+        }
+    }
+
+    /** Each node holds its fixed part of each quota, one over their number, and asks nobody. */
+    static final class FixedParts extends Bucketed {
+        private final VirtualTime time;
+        private final List<Plan> plans;
+        private final int nodes;
+
+        FixedParts(VirtualTime time, List<Plan> plans, int nodes, Admission.Ends ends) {
+            super(new HashMap<>(), ends);
+            this.time = time;
+            this.plans = plans;
+            this.nodes = nodes;
+        }
+
         @Override
         public void request(Request request) {
             Plan plan = plans.get(request.plan());
             Bucket bucket = buckets.computeIfAbsent(request.customer(),
                 c -> new Bucket(plan.rate() / nodes, plan.burst() / nodes, time.now()));
             if (plan.rate() <= 0 || plan.beyondEarns() > plan.beyondCosts() || bucket.take(request.units(), time.now())) {
-                out.put(request.id(), request);
-                ends.sent(request.id());
+                admit(request);
             } else {
                 ends.refused(request.id(), "fixed part");
             }
         }
-
-        @Override
-        public void done(String id, double trueUnits, long took) {
-            Request request = out.remove(id);
-            Bucket bucket = request == null ? null : buckets.get(request.customer());
-            if (bucket != null) {
-                bucket.giveBack(request.units() - trueUnits);
-            }
-        }
     }
 
     /** One bucket for each customer at the counter, and a call to it for each request: no better news can be had. */
-    static final class PlainCount implements Admission {
+    static final class PlainCount extends Bucketed {
         /** The buckets, common to all nodes. */
         static final class Shared {
             private final Map<Long, Bucket> buckets = new HashMap<>();
@@ -91,51 +105,32 @@
 
         private final VirtualTime time;
         private final VirtualCounter counter;
-        private final java.util.List<Plan> plans;
-        private final Shared shared;
+        private final List<Plan> plans;
         private final boolean failOpen;
-        private final Admission.Ends ends;
-        private final Map<String, Request> out = new HashMap<>();
 
-        PlainCount(VirtualTime time, VirtualCounter counter, java.util.List<Plan> plans, Shared shared, boolean failOpen,
+        PlainCount(VirtualTime time, VirtualCounter counter, List<Plan> plans, Shared shared, boolean failOpen,
                    Admission.Ends ends) {
+            super(shared.buckets, ends);
             this.time = time;
             this.counter = counter;
             this.plans = plans;
-            this.shared = shared;
             this.failOpen = failOpen;
-            this.ends = ends;
-        }
-
-        @Override
-        public void kill() {
-            out.clear();
         }
 
         @Override
         public void request(Request request) {
             Plan plan = plans.get(request.plan());
             counter.add(request.customer(), 0, 1, (how, total) -> {
-                Bucket bucket = shared.buckets.computeIfAbsent(request.customer(),
+                Bucket bucket = buckets.computeIfAbsent(request.customer(),
                     c -> new Bucket(plan.rate(), plan.burst(), time.now()));
                 boolean welcome = plan.rate() <= 0 || plan.beyondEarns() > plan.beyondCosts();
                 boolean may = how == Outcome.OK ? bucket.take(request.units(), time.now()) || welcome : failOpen;
                 if (may) {
-                    out.put(request.id(), request);
-                    ends.sent(request.id());
+                    admit(request);
                 } else {
                     ends.refused(request.id(), how == Outcome.OK ? "no room" : "counter");
                 }
             });
         }
-
-        @Override
-        public void done(String id, double trueUnits, long took) {
-            Request request = out.remove(id);
-            Bucket bucket = request == null ? null : shared.buckets.get(request.customer());
-            if (bucket != null) {
-                bucket.giveBack(request.units() - trueUnits);
-            }
-        }
     }
 }
--- a/standin/src/main/java/thistlefall/standin/fleet/VirtualDay.java
+++ b/standin/src/main/java/thistlefall/standin/fleet/VirtualDay.java
@@ -13,6 +13,7 @@
 import thistlefall.Ports.Request;
 import thistlefall.Ports.Server;
 import thistlefall.edge.settings.NodeSettings;
+import thistlefall.edge.token.CustomerNumber;
 import thistlefall.standin.check.Checkers;
 import thistlefall.standin.check.Facts;
 import thistlefall.standin.check.QuotaMeasure;
@@ -241,11 +242,7 @@
             return;
         }
         node.request(new Request(id, classes.indexOf(arrival.requestClass()), plans.indexOf(arrival.plan()),
-            number(arrival.customer()), time.now() + arrival.patience(), arrival.units(), nodes, 0, false));
-    }
-
-    private static long number(String customer) {
-        return com.dynatrace.hash4j.hashing.Hashing.xxh3_64().hashCharsToLong(customer) >>> 1;
+            CustomerNumber.of(arrival.customer()), time.now() + arrival.patience(), arrival.units(), nodes, 0, false));
     }
 
     private final class NodeEnds implements Admission.Ends {
