--- a/cli/src/main/java/thistlefall/cli/DaemonNodes.java
+++ b/cli/src/main/java/thistlefall/cli/DaemonNodes.java
@@ -42,7 +42,7 @@
             .writeValueAsString(Binder.unbind(settings)));
         List<String> command = new ArrayList<>(List.of(System.getProperty("java.home") + File.separator + "bin"
             + File.separator + "java", "-XX:+UseSerialGC", "-Xmx256m", "-XX:TieredStopAtLevel=1", "-cp",
-            System.getProperty("java.class.path"), Main.class.getName(), "run", file.toString(), "--seed",
+            System.getProperty("java.class.path"), Launcher.class.getName(), "run", file.toString(), "--seed",
             Long.toString(seed), "--drain", "2000",
             "--counts-every", Integer.toString(COUNTS_MS)));
         faults.forEach(fault -> command.addAll(List.of("--break", fault.label())));
--- a/cli/src/main/java/thistlefall/cli/Main.java
+++ b/cli/src/main/java/thistlefall/cli/Main.java
@@ -6,7 +6,7 @@
 
 /** The command {@code thistlefall}. */
 @Command(name = "thistlefall", version = "thistlefall 0.2.0", mixinStandardHelpOptions = true,
-    subcommands = {RehearseCommand.class, RunCommand.class, CheckCommand.class, StandinCommand.class,
+    subcommands = {RehearseCommand.class, RunCommand.class, PlatformCommand.class, CheckCommand.class, StandinCommand.class,
         HelpCommand.class},
     description = "An API gateway that enforces quotas and priorities across a fleet of instances.")
 public final class Main implements Runnable {
@@ -20,12 +20,7 @@
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
 
-    /** Runs a sub-command; the exit status is 0, or as each sub-command's help says. */
-    public static void main(String[] args) {
-        System.exit(run(args));
-    }
-
-    /** The same without the end of the process. */
+    /** Runs a sub-command; the result is the exit status. */
     static int run(String... args) {
         return new CommandLine(new Main()).setExecutionExceptionHandler((e, line, parsed) -> {
             line.getErr().println("thistlefall: " + (e.getMessage() == null ? e : e.getMessage()));
--- a/core/src/main/java/thistlefall/attempt/Progress.java
+++ b/core/src/main/java/thistlefall/attempt/Progress.java
@@ -6,7 +6,10 @@
     WAITING,
     /** Has a connection that was seen open; nothing was handed to it. */
     CONNECTED,
-    /** At least one byte was handed to the socket: from here on it may have run. */
+    /**
+     * From here on it may have run: its first byte was handed to the socket or, where servers begin a request no sooner
+     * than it is whole, its last byte was.
+     */
     WRITTEN,
     /** The head of an answer is in. */
     ANSWERED,
--- a/core/src/main/java/thistlefall/attempt/Proof.java
+++ b/core/src/main/java/thistlefall/attempt/Proof.java
@@ -18,13 +18,12 @@
      *
      * @param progress how far it got
      * @param end what ended it
-     * @param status the answer's status code; 0 if there was none
-     * @param unseen whether the answer carries the agreed field by which a server says it did not look at it
+     * @param said what the answer says, in the words of the server's protocol; {@link Said#NOTHING} if there was none
      */
-    public static Outcome of(Progress progress, End end, int status, boolean unseen) {
+    public static Outcome of(Progress progress, End end, Said said) {
         boolean unwritten = progress.compareTo(Progress.WRITTEN) < 0;
         return switch (end) {
-            case ANSWER -> answer(progress, status, unseen);
+            case ANSWER -> answer(progress, said);
             case REFUSED, CONNECT_OVERDUE, NO_PLACE -> unwritten ? Outcome.CONNECT_FAILED : Outcome.RESET;
             // A kept connection that closed before anything was written tells nothing of the server.
             case CLOSED -> unwritten ? Outcome.NOT_SENT : Outcome.RESET;
@@ -40,14 +39,15 @@
         };
     }
 
-    private static Outcome answer(Progress progress, int status, boolean unseen) {
+    private static Outcome answer(Progress progress, Said said) {
         if (progress != Progress.COMPLETE) {
             // Cut in the middle of the answer: it ran, in part at least.
             return Outcome.RESET;
         }
-        if (unseen && status >= 400) {
-            return Outcome.FULL;
-        }
-        return status >= 500 ? Outcome.ERROR : Outcome.OK;
+        return switch (said) {
+            case SERVED -> Outcome.OK;
+            case UNSEEN -> Outcome.FULL;
+            case ERROR, NOTHING -> Outcome.ERROR;
+        };
     }
 }
--- a/core/src/main/java/thistlefall/roster/Roster.java
+++ b/core/src/main/java/thistlefall/roster/Roster.java
@@ -102,6 +102,24 @@
         return new Change(ListKind.FULL, List.copyOf(told.values()), null);
     }
 
+    /** Entries that changed; one that is gone is named so. What a source names one by one is never in doubt. */
+    public Change changes(long newIndex, List<Server> entries) {
+        if (newIndex < index) {
+            return new Change(null, List.of(), "server list: changes " + newIndex + " are older than " + index);
+        }
+        index = newIndex;
+        everHeard = true;
+        List<Server> changed = new ArrayList<>();
+        for (Server server : entries) {
+            Server before = server.readiness() == Readiness.GONE ? listed.remove(server.id())
+                : listed.put(server.id(), server);
+            if (!server.equals(before)) {
+                changed.add(server);
+            }
+        }
+        return changed.isEmpty() ? Change.NONE : new Change(ListKind.DELTA, changed, null);
+    }
+
     /** Of an answer in doubt: what it says of servers it names holds; those it leaves out stay. */
     private Change partial(Map<String, Server> told, long lost) {
         List<Server> changed = new ArrayList<>();
--- a/drill/src/main/java/thistlefall/drill/SettingsReader.java
+++ b/core/src/main/java/thistlefall/settings/SettingsReader.java
@@ -1,7 +1,6 @@
-package thistlefall.drill;
+package thistlefall.settings;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import thistlefall.Ports.Counter;
@@ -13,23 +12,46 @@
 import thistlefall.Ports.Rules;
 import thistlefall.Ports.Settings;
 
-/** Turns the wire's path=value pairs into {@link Settings}; unknown paths are ignored. */
-final class SettingsReader {
-    private final Map<String, String> pairs = new HashMap<>();
+/**
+ * Fills {@link Settings} from paths and values, as the simulator's wire gives them and as a platform's configuration
+ * file does once its nesting is written out: {@code classes.count}, {@code classes.0.aim-ns}, a list of plain values
+ * joined by commas. Spans are nanoseconds. Unknown paths are ignored, absent ones are 0 or off.
+ */
+public final class SettingsReader {
+    private final Map<String, String> pairs;
 
-    private SettingsReader() {
+    private SettingsReader(Map<String, String> pairs) {
+        this.pairs = pairs;
     }
 
-    static Settings read(String[] parts, int from) {
-        SettingsReader reader = new SettingsReader();
-        for (int i = from; i < parts.length; i++) {
-            int equals = parts[i].indexOf('=');
-            if (equals < 1) {
-                throw new IllegalArgumentException("'" + parts[i] + "' is not path=value");
-            }
-            reader.pairs.put(parts[i].substring(0, equals), parts[i].substring(equals + 1));
+    /**
+     * Reads settings.
+     *
+     * @throws IllegalArgumentException if a value that must be a number is none; the message names its path
+     */
+    public static Settings read(Map<String, String> pairs) {
+        return new SettingsReader(pairs).settings();
+    }
+
+    /** The values of one member of a list of objects, in its order: {@code names(pairs, "classes", "name")}. */
+    public static List<String> members(Map<String, String> pairs, String list, String member) {
+        List<String> values = new ArrayList<>();
+        var reader = new SettingsReader(pairs);
+        for (int i = 0; i < reader.whole(list + ".count"); i++) {
+            values.add(reader.text(list + "." + i + "." + member));
         }
-        return reader.settings();
+        return values;
+    }
+
+    /** A list of plain values. */
+    public static List<String> values(Map<String, String> pairs, String path) {
+        String text = new SettingsReader(pairs).text(path);
+        return text.isEmpty() || text.equals("-") ? List.of() : List.of(text.split(","));
+    }
+
+    /** A whole number, 0 if absent. */
+    public static long whole(Map<String, String> pairs, String path) {
+        return new SettingsReader(pairs).whole(path);
     }
 
     private Settings settings() {
@@ -56,11 +78,10 @@
                 number(at + "price"), number(at + "beyond-earns"), number(at + "beyond-costs"),
                 number(at + "hard-rate"), number(at + "hard-burst"), number(at + "hard-slack")));
         }
-        String names = text("load-info.names");
+        List<String> names = values(pairs, "load-info.names");
         return new Settings((int) whole("my-number"), (int) Math.max(1, whole("siblings")), (int) whole("my-zone"),
             whole("tick-ns"), !text("weights").equals("off"),
-            text("load-info.source").equals("off") || names.isEmpty() || names.equals("-")
-                ? List.of() : List.of(names.split(",")),
+            text("load-info.source").equals("off") ? List.of() : names,
             List.copyOf(classes), List.copyOf(plans),
             new Limits((int) whole("caps.max-attempts"), (int) whole("caps.max-open"), flag("caps.probes"),
                 flag("caps.retry-after"), whole("caps.max-retry-after-ns"),
--- a/core/src/test/java/thistlefall/attempt/ProofTest.java
+++ b/core/src/test/java/thistlefall/attempt/ProofTest.java
@@ -16,7 +16,7 @@
                     continue;
                 }
                 for (int status : new int[] {0, 200, 404, 429, 500, 503}) {
-                    assertFalse(Proof.of(progress, end, status, false).provesNeverRan(),
+                    assertFalse(Proof.of(progress, end, Said.ofStatus(status, false)).provesNeverRan(),
                         progress + " " + end + " " + status);
                 }
             }
@@ -25,23 +25,23 @@
 
     @Test
     void eachRow() {
-        assertEquals(Outcome.OK, Proof.of(Progress.COMPLETE, End.ANSWER, 200, false));
-        assertEquals(Outcome.OK, Proof.of(Progress.COMPLETE, End.ANSWER, 404, false));
-        assertEquals(Outcome.ERROR, Proof.of(Progress.COMPLETE, End.ANSWER, 503, false));
-        assertEquals(Outcome.FULL, Proof.of(Progress.COMPLETE, End.ANSWER, 503, true));
-        assertEquals(Outcome.OK, Proof.of(Progress.COMPLETE, End.ANSWER, 200, true), "a 200 contradicts 'unseen'");
-        assertEquals(Outcome.RESET, Proof.of(Progress.ANSWERED, End.CLOSED, 200, false));
-        assertEquals(Outcome.RESET, Proof.of(Progress.WRITTEN, End.CLOSED, 0, false));
-        assertEquals(Outcome.ERROR, Proof.of(Progress.WRITTEN, End.GARBLED, 0, false));
-        assertEquals(Outcome.TIMEOUT, Proof.of(Progress.WRITTEN, End.OVERDUE, 0, false));
-        assertEquals(Outcome.CANCELLED, Proof.of(Progress.WRITTEN, End.WITHDRAWN, 0, false));
-        assertEquals(Outcome.CONNECT_FAILED, Proof.of(Progress.WAITING, End.REFUSED, 0, false));
-        assertEquals(Outcome.CONNECT_FAILED, Proof.of(Progress.WAITING, End.CONNECT_OVERDUE, 0, false));
-        assertEquals(Outcome.CONNECT_FAILED, Proof.of(Progress.WAITING, End.NO_PLACE, 0, false));
-        assertEquals(Outcome.CONNECT_FAILED, Proof.of(Progress.WAITING, End.OVERDUE, 0, false));
-        assertEquals(Outcome.NOT_SENT, Proof.of(Progress.CONNECTED, End.CLOSED, 0, false));
-        assertEquals(Outcome.NOT_SENT, Proof.of(Progress.WAITING, End.WITHDRAWN, 0, false));
-        assertEquals(Outcome.NOT_SENT, Proof.of(Progress.WAITING, End.NOT_STARTED, 0, false));
-        assertThrows(IllegalStateException.class, () -> Proof.of(Progress.WRITTEN, End.NOT_STARTED, 0, false));
+        assertEquals(Outcome.OK, Proof.of(Progress.COMPLETE, End.ANSWER, Said.ofStatus(200, false)));
+        assertEquals(Outcome.OK, Proof.of(Progress.COMPLETE, End.ANSWER, Said.ofStatus(404, false)));
+        assertEquals(Outcome.ERROR, Proof.of(Progress.COMPLETE, End.ANSWER, Said.ofStatus(503, false)));
+        assertEquals(Outcome.FULL, Proof.of(Progress.COMPLETE, End.ANSWER, Said.ofStatus(503, true)));
+        assertEquals(Outcome.OK, Proof.of(Progress.COMPLETE, End.ANSWER, Said.ofStatus(200, true)), "a 200 contradicts 'unseen'");
+        assertEquals(Outcome.RESET, Proof.of(Progress.ANSWERED, End.CLOSED, Said.ofStatus(200, false)));
+        assertEquals(Outcome.RESET, Proof.of(Progress.WRITTEN, End.CLOSED, Said.NOTHING));
+        assertEquals(Outcome.ERROR, Proof.of(Progress.WRITTEN, End.GARBLED, Said.NOTHING));
+        assertEquals(Outcome.TIMEOUT, Proof.of(Progress.WRITTEN, End.OVERDUE, Said.NOTHING));
+        assertEquals(Outcome.CANCELLED, Proof.of(Progress.WRITTEN, End.WITHDRAWN, Said.NOTHING));
+        assertEquals(Outcome.CONNECT_FAILED, Proof.of(Progress.WAITING, End.REFUSED, Said.NOTHING));
+        assertEquals(Outcome.CONNECT_FAILED, Proof.of(Progress.WAITING, End.CONNECT_OVERDUE, Said.NOTHING));
+        assertEquals(Outcome.CONNECT_FAILED, Proof.of(Progress.WAITING, End.NO_PLACE, Said.NOTHING));
+        assertEquals(Outcome.CONNECT_FAILED, Proof.of(Progress.WAITING, End.OVERDUE, Said.NOTHING));
+        assertEquals(Outcome.NOT_SENT, Proof.of(Progress.CONNECTED, End.CLOSED, Said.NOTHING));
+        assertEquals(Outcome.NOT_SENT, Proof.of(Progress.WAITING, End.WITHDRAWN, Said.NOTHING));
+        assertEquals(Outcome.NOT_SENT, Proof.of(Progress.WAITING, End.NOT_STARTED, Said.NOTHING));
+        assertThrows(IllegalStateException.class, () -> Proof.of(Progress.WRITTEN, End.NOT_STARTED, Said.NOTHING));
     }
 }
--- a/drill/src/main/java/thistlefall/drill/WireReader.java
+++ b/drill/src/main/java/thistlefall/drill/WireReader.java
@@ -13,6 +13,7 @@
 import thistlefall.Ports.Request;
 import thistlefall.Ports.Result;
 import thistlefall.Ports.Server;
+import thistlefall.settings.SettingsReader;
 
 /** Reads batches of the wire, hands each event to the gateway concerned and has the reply written. */
 final class WireReader {
@@ -69,7 +70,7 @@
             case "start" -> {
                 long seed = whole(2);
                 try {
-                    gateways.put(node, new Gateway(SettingsReader.read(parts, 3), seed, now,
+                    gateways.put(node, new Gateway(SettingsReader.read(pairs(3)), seed, now,
                         out.actionsOf(node)));
                 } catch (IllegalArgumentException e) {
                     throw malformed("bad settings (" + e.getMessage() + ")");
@@ -91,6 +92,19 @@
         }
     }
 
+    /** The rest of the line, which holds path=value pairs. */
+    private Map<String, String> pairs(int from) {
+        Map<String, String> pairs = new HashMap<>();
+        for (int i = from; i < parts.length; i++) {
+            int equals = parts[i].indexOf('=');
+            if (equals < 1) {
+                throw new IllegalArgumentException("'" + parts[i] + "' is not path=value");
+            }
+            pairs.put(parts[i].substring(0, equals), parts[i].substring(equals + 1));
+        }
+        return pairs;
+    }
+
     private void view(int node) throws IOException, MalformedInput {
         Gateway gateway = gateway(node);
         ListKind kind = switch (integer(3)) {
--- a/edge/src/main/java/thistlefall/edge/resp/CounterClient.java
+++ b/edge/src/main/java/thistlefall/edge/count/CounterClient.java
@@ -1,4 +1,4 @@
-package thistlefall.edge.resp;
+package thistlefall.edge.count;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -13,40 +13,33 @@
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import thistlefall.Ports.Outcome;
 
 /**
- * Calls to one part of the shared counter, pipelined over one connection. A call adds and reads in one transaction
- * ({@code MULTI, INCRBYFLOAT, PEXPIRE NX, EXEC}), so that a count that is new also gets its life.
+ * Calls to one part of the shared counter, pipelined over one connection.
  *
  * <p>Each call ends exactly once, and calls end in the order in which they were made:
  * <ul>
  *   <li>OK with the total;</li>
- *   <li>FULL if the counter says that nothing was added (an error in the transaction);</li>
+ *   <li>FULL if the counter says that nothing was added;</li>
  *   <li>CONNECT_FAILED if no byte of it was handed to a socket;</li>
- *   <li>TIMEOUT if there is no answer in time or the connection broke: it may have been added.</li>
+ *   <li>TIMEOUT if there is no answer in time, or none that can be read, or the connection broke: it may have been
+ *       added.</li>
  * </ul>
- * A late answer is recognised by its place in the connection's line and dropped; a connection that stays silent for
- * four time-outs is closed, since what it still holds could only come late. Reconnects back off, with chance.
+ * A late answer is recognised by its place in the connection's line and dropped. A connection on which nothing comes for
+ * four time-outs while an answer is due is closed: it may be dead without a word. Reconnects back off, with chance.
  * All methods are called on the event loop.
  */
 public final class CounterClient {
-    /** Hears of a call's end, on the event loop. */
-    public interface Done {
-        /** The call has ended; the total counts only with OK. */
-        void ended(Outcome outcome, double total);
-    }
-
     private static final class Pending {
-        private final Done done;
+        private final CounterCalls.Done done;
         private final long at;
         private boolean over;
 
-        private Pending(Done done, long at) {
+        private Pending(CounterCalls.Done done, long at) {
             this.done = done;
             this.at = at;
         }
@@ -59,27 +52,36 @@
         }
     }
 
-    private static final int REPLIES = 4;
     private static final long BACK_OFF = 20_000_000L;
     private static final long BACK_OFF_MOST = 1_000_000_000L;
     private static final int MOST_PENDING = 10_000;
+    /** In time-outs. */
+    private static final long SILENT = 4;
 
     private final EventLoop loop;
+    private final CounterWire wire;
     private final SocketAddress address;
     private final SocketAddress source;
     private final long timeout;
     private final SplittableRandom random;
     private final ArrayDeque<Pending> line = new ArrayDeque<>();
-    private final List<RespReply> replies = new ArrayList<>(REPLIES);
+    /** Those of the line that have no end yet, oldest first, and some that have. */
+    private final ArrayDeque<Pending> waiting = new ArrayDeque<>();
     private Channel channel;
     private boolean connecting;
     private boolean closed;
     private long wait = BACK_OFF;
     private boolean flushing;
-
-    /** A client that connects at once and stays connected. */
-    public CounterClient(EventLoop loop, SocketAddress address, long timeout, long seed, String source) {
+    private boolean watching;
+    private boolean retired;
+    /** How long nothing has come while an answer was due, and up to when that was counted. */
+    private long silence;
+    private long countedAt;
+
+    /** A client that connects at once and stays connected; {@code source} is the address to connect from, or null. */
+    public CounterClient(EventLoop loop, CounterWire wire, SocketAddress address, long timeout, long seed, String source) {
         this.loop = loop;
+        this.wire = wire;
         this.address = address;
         this.timeout = timeout;
         this.source = source == null ? null : new InetSocketAddress(source, 0);
@@ -88,50 +90,71 @@
     }
 
     /** Adds to a count that lives for {@code lifetime} nanoseconds from its first call. */
-    public void add(String name, double amount, long lifetime, Done done) {
-        if (channel == null || !channel.isActive() || line.size() >= MOST_PENDING) {
+    public void add(String name, double amount, long lifetime, CounterCalls.Done done) {
+        if (!connected() || line.size() >= MOST_PENDING) {
             // Not within the caller's own event: it has not finished asking.
             loop.execute(() -> done.ended(Outcome.CONNECT_FAILED, 0));
             return;
         }
-        var pending = new Pending(done, System.nanoTime());
+        long now = System.nanoTime();
+        var pending = new Pending(done, now);
+        if (line.isEmpty()) {
+            heard(now);
+        }
         line.add(pending);
+        waiting.add(pending);
         ByteBuf out = channel.alloc().ioBuffer(192);
-        RespWriter.command(out, "MULTI");
-        RespWriter.command(out, "INCRBYFLOAT", name, plain(amount));
-        RespWriter.command(out, "PEXPIRE", name, Long.toString(Math.max(1, lifetime / 1_000_000)), "NX");
-        RespWriter.command(out, "EXEC");
+        wire.write(out, name, amount, Math.max(1, lifetime / 1_000_000));
         channel.write(out, channel.voidPromise());
         if (!flushing) {
             // One write to the socket for all calls of a turn of the loop.
             flushing = true;
             loop.execute(this::flush);
         }
-        loop.schedule(() -> overdue(pending), timeout, TimeUnit.NANOSECONDS);
+        watch(timeout);
     }
 
-    private void flush() {
-        flushing = false;
-        if (channel != null) {
-            channel.flush();
+    /** One timer for all that wait: they are due in their order. */
+    private void watch(long span) {
+        if (!watching) {
+            watching = true;
+            loop.schedule(this::look, span, TimeUnit.NANOSECONDS);
         }
     }
 
-    private static String plain(double amount) {
-        return new java.math.BigDecimal(amount).setScale(6, java.math.RoundingMode.HALF_EVEN)
-            .stripTrailingZeros().toPlainString();
+    private void look() {
+        watching = false;
+        long now = System.nanoTime();
+        while (!waiting.isEmpty() && (waiting.peek().over || now - waiting.peek().at >= timeout)) {
+            waiting.poll().end(Outcome.TIMEOUT, 0);
+        }
+        // A loop that was held up itself has not listened: such a time counts as one time-out at most.
+        silence += Math.min(timeout, now - countedAt);
+        countedAt = now;
+        if (!line.isEmpty() && silence > SILENT * timeout && channel != null) {
+            channel.close();
+        }
+        if (!waiting.isEmpty()) {
+            watch(timeout - (now - waiting.peek().at));
+        } else if (!line.isEmpty()) {
+            watch(timeout);
+        }
     }
 
-    private void overdue(Pending pending) {
-        pending.end(Outcome.TIMEOUT, 0);
-        Pending first = line.peek();
-        if (first != null && System.nanoTime() - first.at > 4 * timeout && channel != null) {
-            channel.close();
+    private void heard(long now) {
+        silence = 0;
+        countedAt = now;
+    }
+
+    private void flush() {
+        flushing = false;
+        if (channel != null) {
+            channel.flush();
         }
     }
 
     private void connect() {
-        if (closed || connecting || channel != null) {
+        if (closed || retired || connecting || channel != null) {
             return;
         }
         connecting = true;
@@ -140,7 +163,8 @@
             .handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel made) {
-                    made.pipeline().addLast(new RespDecoder(), new Replies());
+                    wire.readWith(made.pipeline());
+                    made.pipeline().addLast(new Replies());
                 }
             }).connect(address, source).addListener((ChannelFuture made) -> {
                 connecting = false;
@@ -155,7 +179,7 @@
     }
 
     private void later() {
-        if (!closed) {
+        if (!closed && !retired) {
             long span = (long) (wait * (0.5 + random.nextDouble()));
             wait = Math.min(BACK_OFF_MOST, wait * 2);
             loop.schedule(this::connect, span, TimeUnit.NANOSECONDS);
@@ -175,40 +199,39 @@
         return channel != null && channel.isActive();
     }
 
-    private void replied(RespReply reply) {
-        replies.add(reply);
-        if (replies.size() < REPLIES) {
-            return;
+    /** Whether no call waits for its end. */
+    public boolean quiet() {
+        return waiting.stream().allMatch(pending -> pending.over);
+    }
+
+    /** Takes no part any more: what is out runs to its end, then the connection closes. */
+    public void retire() {
+        retired = true;
+        if (line.isEmpty()) {
+            close();
         }
-        RespReply last = replies.get(REPLIES - 1);
-        replies.clear();
+    }
+
+    private void replied(CounterWire.Reply reply) {
+        heard(System.nanoTime());
         Pending pending = line.poll();
         if (pending == null) {
             channel.close();
             return;
         }
         wait = BACK_OFF;
-        if (last instanceof RespReply.Array array && array.items() != null && !array.items().isEmpty()
-            && array.items().get(0) instanceof RespReply.Bulk total && total.bytes() != null) {
-            try {
-                pending.end(Outcome.OK, Double.parseDouble(total.text()));
-            } catch (NumberFormatException e) {
-                pending.end(Outcome.TIMEOUT, 0);
-                channel.close();
-            }
-        } else {
-            // An error for the transaction or for its first command: nothing was added.
-            boolean nothing = last instanceof RespReply.Error || last instanceof RespReply.Array array
-                && array.items() != null && !array.items().isEmpty()
-                && array.items().get(0) instanceof RespReply.Error;
-            pending.end(nothing ? Outcome.FULL : Outcome.TIMEOUT, 0);
+        pending.end(reply.outcome(), reply.total());
+        if (reply.lost() && channel != null || retired && line.isEmpty()) {
+            channel.close();
         }
     }
 
     private final class Replies extends ChannelInboundHandlerAdapter {
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
-            replied((RespReply) message);
+            if (channel == context.channel()) {
+                replied((CounterWire.Reply) message);
+            }
         }
 
         @Override
@@ -216,9 +239,9 @@
             if (channel == context.channel()) {
                 channel = null;
             }
-            replies.clear();
             List<Pending> lost = List.copyOf(line);
             line.clear();
+            waiting.clear();
             lost.forEach(pending -> pending.end(Outcome.TIMEOUT, 0));
             later();
         }
--- a/edge/src/main/java/thistlefall/edge/host/Answers.java
+++ b/edge/src/main/java/thistlefall/edge/host/Answers.java
@@ -1,8 +1,10 @@
 package thistlefall.edge.host;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import thistlefall.Ports.Outcome;
@@ -20,6 +22,8 @@
     private final Logger log;
     private final int logEvery;
     private final Map<String, Exchange> exchanges = new HashMap<>();
+    /** The clients' own names of those, where they have any. */
+    private final Set<String> clientIds = new HashSet<>();
     private long answers;
 
     Answers(String node, Ledger ledger, NodeCounts counts, Seams seams, Logger log, int logEvery) {
@@ -36,6 +40,11 @@
         return exchanges.get(id);
     }
 
+    /** Whether a request that its client gave this name is not over yet. */
+    boolean knows(String clientId) {
+        return clientIds.contains(clientId);
+    }
+
     boolean hasRoom() {
         return ledger.hasRoom();
     }
@@ -49,6 +58,9 @@
     void accept(Exchange exchange, RequestClass spec, long deadline) {
         exchange.entry = ledger.accept(spec, deadline);
         exchanges.put(exchange.entry.id(), exchange);
+        if (exchange.clientId != null) {
+            clientIds.add(exchange.clientId);
+        }
     }
 
     /** Whether an attempt may start now. */
@@ -129,6 +141,7 @@
     void forgetIfOver(Exchange exchange) {
         if (!exchange.entry.open() && !exchange.entry.out()) {
             exchanges.remove(exchange.entry.id());
+            clientIds.remove(exchange.clientId);
         }
     }
 
@@ -139,8 +152,8 @@
         }
         Cause cause = exchange.entry.cause();
         log.atInfo().addKeyValue("node", node).addKeyValue("request", exchange.entry.id())
-            .addKeyValue("class", exchange.route.className()).addKeyValue("customer", exchange.customer)
-            .addKeyValue("token", exchange.key.toString()).addKeyValue("attempts", exchange.entry.attempts())
+            .addKeyValue("class", exchange.wanted == null ? "" : exchange.wanted.className())
+            .addKeyValue("customer", exchange.customer).addKeyValue("token", String.valueOf(exchange.key)).addKeyValue("attempts", exchange.entry.attempts())
             .addKeyValue("ms", (System.nanoTime() - exchange.arrived) / 1_000_000)
             .addKeyValue("outcome", answer.name().toLowerCase(Locale.ROOT))
             .addKeyValue("reason", cause == null ? "" : cause.code()).log("request");
--- a/edge/src/main/java/thistlefall/edge/host/Attempt.java
+++ b/edge/src/main/java/thistlefall/edge/host/Attempt.java
@@ -4,11 +4,11 @@
 import io.netty.channel.Channel;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 import thistlefall.Ports.Outcome;
 import thistlefall.attempt.End;
 import thistlefall.attempt.Progress;
 import thistlefall.attempt.Proof;
+import thistlefall.attempt.Said;
 import thistlefall.edge.http.Fields;
 import thistlefall.edge.http.Framing;
 import thistlefall.edge.http.Head;
@@ -28,8 +28,6 @@
     }
 
     private static final long ANSWER_STALL = 30_000_000_000L;
-    /** Answers up to this size are passed on when they are whole: one that breaks off may still be tried again. */
-    private static final long HELD_WHOLE = 16 * 1024;
 
     private final Carrier carrier;
     private final Exchange exchange;
@@ -81,13 +79,18 @@
         Head.Request request = exchange.head;
         Channel channel = ready.channel();
         ByteBuf out = HttpWriter.request(channel.alloc(), request.method(), request.target());
-        Set<String> nominated = ClientConnection.nominated(request.fields());
-        request.fields().writeTo(out, name -> HttpWriter.endToEnd(name) && !name.equals("authorization")
-            && !name.startsWith("request-attempt") && !name.startsWith("request-customer")
-            && (nominated == null || !nominated.contains(name)));
-        HttpWriter.field(out, "Request-Attempt", Integer.toString(number));
-        HttpWriter.field(out, "Request-Customer", exchange.customer);
-        HttpWriter.field(out, "Via", "1.1 " + carrier.node());
+        long left = timer.at() - System.nanoTime();
+        carrier.dialect().requestFields(out, request, number, exchange.customer, carrier.node(), left);
+        if (carrier.dialect().wholeRequests()) {
+            writeWhole(channel, out);
+        } else {
+            stream(channel, out);
+        }
+    }
+
+    /** Passes the body on as it comes. */
+    private void stream(Channel channel, ByteBuf out) {
+        Head.Request request = exchange.head;
         HttpWriter.framing(out, request.framing(), !request.method().equals("GET") && !request.method().equals("HEAD"));
         HttpWriter.end(out);
         // From the first byte on nothing proves any more that it did not run.
@@ -98,6 +101,22 @@
         exchange.client.updateRead();
     }
 
+    /** Writes it in one piece: until the socket has its last byte, the server has not begun it. */
+    private void writeWhole(Channel channel, ByteBuf out) {
+        RequestBody body = exchange.body;
+        boolean bare = exchange.head.method().equals("GET") && body.size() == 0;
+        HttpWriter.framing(out, bare ? Framing.NONE : new Framing(Framing.Kind.LENGTH, body.size()), !bare);
+        HttpWriter.end(out);
+        body.copyTo(out);
+        ServerConnection to = connection;
+        channel.writeAndFlush(out).addListener(written -> {
+            if (connection == to && written.isSuccess()) {
+                progress = progress == Progress.CONNECTED ? Progress.WRITTEN : progress;
+                to.requestWritten();
+            }
+        });
+    }
+
     @Override
     public void none(End why) {
         end(why);
@@ -142,12 +161,18 @@
     public void head(Head.Response came) {
         head = came;
         progress = Progress.ANSWERED;
-        if (came.status() >= 500 || unseen()) {
+        if (said() != Said.SERVED) {
             return;
         }
         Framing framing = came.framing();
-        holding = framing.kind() == Framing.Kind.NONE
-            || framing.kind() == Framing.Kind.LENGTH && framing.length() <= HELD_WHOLE;
+        if (carrier.dialect().wholeRequests() && framing.kind() == Framing.Kind.CLOSE) {
+            // Nothing tells a whole one from one that broke off.
+            end(End.GARBLED);
+            return;
+        }
+        holding = framing.kind() != Framing.Kind.CLOSE && carrier.dialect().wholeRequests()
+            || framing.kind() == Framing.Kind.NONE
+            || framing.kind() == Framing.Kind.LENGTH && framing.length() <= carrier.dialect().heldWhole();
         if (!holding) {
             pass();
         }
@@ -213,14 +238,8 @@
         }
     }
 
-    private boolean unseen() {
-        return head != null && "?1".equals(head.fields().get("request-unseen"));
-    }
-
-    private double trueUnits() {
-        String text = head == null ? null : head.fields().get("request-units");
-        Double units = text == null ? null : LoadReport.number(text);
-        return units == null ? 0 : units;
+    private Said said() {
+        return head == null ? Said.NOTHING : carrier.dialect().said(head);
     }
 
     /** The attempt is over; only the first call counts. */
@@ -240,7 +259,7 @@
         if (passing && progress != Progress.COMPLETE) {
             exchange.client.abort(exchange);
         }
-        report(Proof.of(progress, how, head == null ? 0 : head.status(), unseen()));
+        report(Proof.of(progress, how, said()));
     }
 
     private void report(Outcome outcome) {
@@ -249,6 +268,7 @@
         }
         reported = true;
         List<Double> load = head == null ? List.of() : carrier.loadReport(head.fields());
-        carrier.attemptEnded(exchange, this, new Ended(outcome, System.nanoTime() - started, trueUnits(), load));
+        double units = head == null ? 0 : carrier.dialect().trueUnits(head.fields());
+        carrier.attemptEnded(exchange, this, new Ended(outcome, System.nanoTime() - started, units, load));
     }
 }
--- /dev/null
+++ b/edge/src/main/java/thistlefall/edge/host/BearerDialect.java
@@ -0,0 +1,65 @@
+package thistlefall.edge.host;
+
+import io.netty.buffer.ByteBuf;
+import java.util.List;
+import java.util.Set;
+import thistlefall.attempt.Said;
+import thistlefall.edge.http.Fields;
+import thistlefall.edge.http.Head;
+import thistlefall.edge.http.HttpWriter;
+import thistlefall.edge.http.Names;
+
+/** The words of a node that checks bearer tokens: see docs/edge.md. */
+final class BearerDialect implements Dialect {
+    private static final Names NOT_FOR_CLIENTS = HttpWriter.hopByHopAnd("endpoint-load-metrics", "request-unseen");
+    private static final int HELD_WHOLE = 16 * 1024;
+
+    @Override
+    public boolean wholeRequests() {
+        return false;
+    }
+
+    @Override
+    public int heldWhole() {
+        return HELD_WHOLE;
+    }
+
+    @Override
+    public void requestFields(ByteBuf out, Head.Request request, int attempt, String customer, String node,
+                              long patience) {
+        Set<String> nominated = request.fields().nominated();
+        request.fields().writeTo(out, name -> HttpWriter.endToEnd(name) && !name.equals("authorization")
+            && !name.startsWith("request-attempt") && !name.startsWith("request-customer")
+            && !nominated.contains(name));
+        HttpWriter.field(out, "Request-Attempt", Integer.toString(attempt));
+        HttpWriter.field(out, "Request-Customer", customer);
+        HttpWriter.field(out, "Via", "1.1 " + node);
+    }
+
+    @Override
+    public Said said(Head.Response answer) {
+        return Said.ofStatus(answer.status(), "?1".equals(answer.fields().get("request-unseen")));
+    }
+
+    @Override
+    public double trueUnits(Fields answer) {
+        String text = answer.get("request-units");
+        Double units = text == null ? null : LoadReport.number(text);
+        return units == null ? 0 : units;
+    }
+
+    @Override
+    public List<Double> report(Fields answer, List<String> names) {
+        return LoadReport.of(answer, names);
+    }
+
+    @Override
+    public Names notForClients() {
+        return NOT_FOR_CLIENTS;
+    }
+
+    @Override
+    public String retryAfter(long span) {
+        return Long.toString((span + 999_999_999) / 1_000_000_000);
+    }
+}
--- a/edge/src/main/java/thistlefall/edge/host/Carrier.java
+++ b/edge/src/main/java/thistlefall/edge/host/Carrier.java
@@ -31,13 +31,14 @@
     private final Upstreams upstreams;
     private final ModuleHost module;
     private final Map<Exchange, Request> afterStall = new HashMap<>();
-    private TokenCheck tokens;
+    private final Dialect dialect;
+    private Gate gate;
     private CounterSide counter;
     private Intake intake;
     private boolean closed;
 
     Carrier(String node, EventLoop loop, Logger log, NodeClock clock, Timers timers, NodeCounts counts, Answers answers,
-            Ports.Settings settings, Upstreams upstreams) {
+            Ports.Settings settings, Upstreams upstreams, Dialect dialect) {
         this.node = node;
         this.loop = loop;
         this.log = log;
@@ -47,13 +48,14 @@
         this.answers = answers;
         this.settings = settings;
         this.upstreams = upstreams;
+        this.dialect = dialect;
         module = new ModuleHost(log, this::crashed);
     }
 
     /** The parts it asks. */
-    void join(Intake in, TokenCheck check, CounterSide count) {
+    void join(Intake in, Gate through, CounterSide count) {
         intake = in;
-        tokens = check;
+        gate = through;
         counter = count;
     }
 
@@ -73,13 +75,18 @@
         return timers;
     }
 
+    Dialect dialect() {
+        return dialect;
+    }
+
     // ---- requests to the module -----------------------------------------------------------------------------
 
     /** A request may go on: the module decides from here. */
-    void entitled(Exchange exchange, long customer, int plan) {
+    void entitled(Exchange exchange, Wanted wanted) {
         exchange.handedOver = true;
-        var request = new Request(exchange.entry.id(), exchange.route.requestClass(), plan, customer,
-            intake.sharedDeadline(exchange), units(exchange), settings.siblings(), 0, false);
+        exchange.wanted = wanted;
+        var request = new Request(exchange.entry.id(), wanted.requestClass(), wanted.plan(), wanted.customer(),
+            intake.sharedDeadline(exchange), wanted.units(), wanted.setSize(), wanted.setFirst(), wanted.repeat());
         if (timers.stalled()) {
             // After a stall much comes at once: who has least time left goes first.
             afterStall.put(exchange, request);
@@ -99,18 +106,6 @@
             .forEach(exchange -> module.event(exchange, events -> events.request(clock.now(), ready.get(exchange))));
     }
 
-    /**
-     * The guess of what a request costs: its own, if the route lets it tell one, between the route's least and the
-     * largest there is. Telling less gains nothing: the answer's true units are what counts in the end.
-     */
-    private double units(Exchange exchange) {
-        Routes.Route route = exchange.route;
-        String told = route.unitsField() == null ? null : exchange.head.fields().get(route.unitsField());
-        Double units = told == null ? null : LoadReport.number(told);
-        return units == null || units <= 0 ? route.units()
-            : Math.max(route.leastUnits(), Math.min(units, settings.counter().largest()));
-    }
-
     /** The client of a request has left, or it was ended elsewhere. */
     void gone(Exchange exchange) {
         if (exchange.handedOver) {
@@ -159,7 +154,7 @@
             return;
         }
         int number = exchange.entry.attempts() - 1;
-        boolean tokenDied = number > 0 && tokens.dead(exchange);
+        boolean tokenDied = number > 0 && gate.dead(exchange);
         ServerPool pool = upstreams.pool(server);
         if (tokenDied || pool == null || number > 0 && !exchange.body.replayable()) {
             answers.ended(exchange, Outcome.NOT_SENT);
@@ -227,7 +222,7 @@
     }
 
     List<Double> loadReport(Fields fields) {
-        return LoadReport.of(fields, settings.reports());
+        return dialect.report(fields, settings.reports());
     }
 
     /** An attempt is over, or as good as over for the module. */
--- a/edge/src/main/java/thistlefall/edge/host/ClientConnection.java
+++ b/edge/src/main/java/thistlefall/edge/host/ClientConnection.java
@@ -11,9 +11,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.function.Consumer;
-import java.util.HashSet;
-import java.util.Locale;
-import java.util.Set;
 import thistlefall.edge.http.BodyEnd;
 import thistlefall.edge.http.Fields;
 import thistlefall.edge.http.Framing;
@@ -32,12 +29,12 @@
 final class ClientConnection extends ChannelInboundHandlerAdapter {
     private static final ByteBuf CONTINUE = Unpooled.unreleasableBuffer(Unpooled.directBuffer(25)
         .writeBytes("HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII))).asReadOnly();
-    private static final long LINGER = 1_000_000_000L;
 
     private final Intake intake;
     private final Consumer<String> log;
     private final Timers timers;
     private final LimitSettings limits;
+    private final Dialect dialect;
     private final RequestDecoder decoder;
     private final ArrayDeque<Exchange> exchanges = new ArrayDeque<>();
     private Channel channel;
@@ -49,21 +46,26 @@
     private boolean handing;
     private boolean headArmed;
     private boolean lingering;
+    private long opened;
+    private boolean asked;
     private DeadlineWheel.Entry<Runnable> headTimer;
     private DeadlineWheel.Entry<Runnable> idleTimer;
     private DeadlineWheel.Entry<Runnable> stallTimer;
 
-    ClientConnection(Intake intake, Consumer<String> log, Timers timers, LimitSettings limits, RequestDecoder decoder) {
+    ClientConnection(Intake intake, Consumer<String> log, Timers timers, LimitSettings limits, Dialect dialect,
+                     RequestDecoder decoder) {
         this.intake = intake;
         this.log = log;
         this.timers = timers;
         this.limits = limits;
+        this.dialect = dialect;
         this.decoder = decoder;
     }
 
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         channel = context.channel();
+        opened = System.nanoTime();
         idle();
     }
 
@@ -72,8 +74,11 @@
         if (closing || fault != null) {
             ReferenceCountUtil.release(message);
         } else if (message instanceof Head.Request head) {
-            timers.cancel(headTimer);
+            if (!dialect.wholeRequests()) {
+                timers.cancel(headTimer);
+            }
             timers.cancel(idleTimer);
+            intake.idle(this, false);
             incoming = new Exchange(this, head, timers.earliestArrival(), limits.replayBody());
             exchanges.add(incoming);
             next();
@@ -86,6 +91,12 @@
                 // What comes after the last request is nobody's.
                 closing = !whole.head.keepAlive();
                 whole.body.end(end.trailers());
+                if (dialect.wholeRequests()) {
+                    timers.cancel(headTimer);
+                    headArmed = false;
+                    whole.arrived = timers.earliestArrival();
+                    next();
+                }
             }
         } else if (message instanceof Malformed malformed) {
             fault = malformed;
@@ -96,23 +107,35 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        boolean partialHead = !decoder.idle() && incoming == null && fault == null && !closing;
-        if (partialHead && (headTimer == null || !headArmed)) {
+        boolean partial = partial();
+        if (partial && !headArmed) {
             headArmed = true;
             timers.cancel(idleTimer);
-            headTimer = timers.after(limits.headTimeout().toNanos(), () -> {
+            headTimer = timers.after(headTime(), () -> {
                 headArmed = false;
-                if (!decoder.idle() && incoming == null && !closing) {
-                    fault = new Malformed(408, "the head of the request took too long");
+                if (partial()) {
+                    fault = new Malformed(408, "the request took too long to come");
                     malformed();
                 }
             });
-        } else if (!partialHead && headArmed) {
+        } else if (!partial && headArmed) {
             headArmed = false;
             timers.cancel(headTimer);
         }
     }
 
+    /** How long what has begun to come may take: of a connection that has asked nothing yet, counted from its opening. */
+    private long headTime() {
+        long since = System.nanoTime() - opened;
+        return asked ? limits.headTimeout().toNanos()
+            : Math.min(limits.headTimeout().toNanos(), limits.firstTimeout().toNanos() - since);
+    }
+
+    /** Whether a part has come of what must be whole before it is taken up: the head, or all of it. */
+    private boolean partial() {
+        return !decoder.idle() && (incoming == null || dialect.wholeRequests()) && fault == null && !closing;
+    }
+
     /** Hands the first request over, if it has not been. */
     private void next() {
         if (handing) {
@@ -121,7 +144,8 @@
         handing = true;
         try {
             Exchange first = exchanges.peek();
-            while (first != null && first.route == null && !first.answered) {
+            while (first != null && !first.begun && !first.answered
+                && (first.body.whole() || !dialect.wholeRequests())) {
                 intake.begin(first);
                 first = exchanges.peek();
             }
@@ -191,7 +215,7 @@
         ByteBuf out = HttpWriter.response(channel.alloc(), problem.status());
         HttpWriter.field(out, "Content-Type", "application/problem+json");
         if (problem.retryAfter() > 0) {
-            HttpWriter.field(out, "Retry-After", Long.toString((problem.retryAfter() + 999_999_999) / 1_000_000_000));
+            HttpWriter.field(out, "Retry-After", dialect.retryAfter(problem.retryAfter()));
         }
         if (problem.authenticate() != null) {
             HttpWriter.field(out, "WWW-Authenticate", problem.authenticate());
@@ -214,9 +238,7 @@
         exchange.answered = true;
         closeAfter |= !exchange.head.keepAlive() || !exchange.body.whole();
         ByteBuf out = HttpWriter.response(channel.alloc(), head.status());
-        Set<String> nominated = nominated(head.fields());
-        head.fields().writeTo(out, name -> HttpWriter.endToEnd(name) && !name.equals("endpoint-load-metrics")
-            && !name.equals("request-unseen") && (nominated == null || !nominated.contains(name)));
+        head.fields().writeExcept(out, dialect.notForClients(), head.fields().nominated());
         Framing framing = head.framing();
         boolean headMethod = exchange.head.method().equals("HEAD");
         boolean bare = headMethod || head.status() == 204 || head.status() == 304;
@@ -239,20 +261,6 @@
         channel.write(HttpWriter.end(out));
     }
 
-    /** Names of fields that a message marks as belonging to its connection; null if there are none. */
-    static Set<String> nominated(Fields fields) {
-        if (!fields.has("connection")) {
-            return null;
-        }
-        Set<String> names = new HashSet<>();
-        for (String value : fields.all("connection")) {
-            for (String name : value.split(",")) {
-                names.add(name.strip().toLowerCase(Locale.ROOT));
-            }
-        }
-        return names;
-    }
-
     /** Passes a piece of the answer on; false if the client should be given time. */
     boolean piece(ByteBuf piece) {
         if (!channel.isActive()) {
@@ -283,6 +291,7 @@
     }
 
     private void finished(Exchange exchange) {
+        asked = true;
         exchange.body.release();
         if (exchanges.peek() != exchange) {
             // The connection has died meanwhile.
@@ -317,12 +326,13 @@
             }
         });
         updateRead();
-        timers.after(LINGER, () -> channel.close());
+        timers.after(limits.linger().toNanos(), () -> channel.close());
     }
 
     private void idle() {
         timers.cancel(idleTimer);
-        idleTimer = timers.after(limits.idleTimeout().toNanos(), () -> {
+        intake.idle(this, true);
+        idleTimer = timers.after((asked ? limits.idleTimeout() : limits.firstTimeout()).toNanos(), () -> {
             if (exchanges.isEmpty()) {
                 channel.close();
             }
--- a/edge/src/main/java/thistlefall/edge/host/CounterSide.java
+++ b/edge/src/main/java/thistlefall/edge/host/CounterSide.java
@@ -1,11 +1,8 @@
 package thistlefall.edge.host;
 
 import io.netty.channel.EventLoop;
-import java.net.InetSocketAddress;
 import thistlefall.Ports.Outcome;
-import thistlefall.edge.resp.Counter;
-import thistlefall.edge.settings.Defaults;
-import thistlefall.edge.settings.NodeSettings;
+import thistlefall.edge.count.CounterCalls;
 
 /** The module's calls to the shared counter; each ends exactly once, also where there is no counter. */
 final class CounterSide {
@@ -18,20 +15,14 @@
     private final EventLoop loop;
     private final NodeCounts counts;
     private final Counted counted;
-    private final Counter counter;
+    private final CounterCalls counter;
 
-    CounterSide(NodeSettings settings, EventLoop loop, long seed, NodeCounts counts, Counted counted) {
+    /** Calls to a counter; null for none. */
+    CounterSide(EventLoop loop, CounterCalls counter, NodeCounts counts, Counted counted) {
         this.loop = loop;
         this.counts = counts;
         this.counted = counted;
-        var c = settings.counter();
-        counter = c == null ? null : new Counter(loop, c.parts().stream().map(CounterSide::address).toList(),
-            Defaults.nanos(c.timeout(), 50_000_000L), seed, settings.node().sourceAddress());
-    }
-
-    private static InetSocketAddress address(String hostPort) {
-        int colon = hostPort.lastIndexOf(':');
-        return new InetSocketAddress(hostPort.substring(0, colon), Integer.parseInt(hostPort.substring(colon + 1)));
+        this.counter = counter;
     }
 
     void add(long name, double amount, long lifetime) {
--- a/edge/src/main/java/thistlefall/edge/host/EdgeNode.java
+++ b/edge/src/main/java/thistlefall/edge/host/EdgeNode.java
@@ -51,24 +51,25 @@
     private final Channel listener;
     private boolean stopped;
 
-    private EdgeNode(NodeSettings settings, Options options) throws IOException {
+    private EdgeNode(Wiring wiring, Options options) throws IOException {
         Logger log = LoggerFactory.getLogger("thistlefall.node");
         group = new MultiThreadIoEventLoopGroup(1,
-            new DefaultThreadFactory("thistlefall-" + settings.node().name(), true), NioIoHandler.newFactory());
+            new DefaultThreadFactory("thistlefall-" + wiring.name(), true), NioIoHandler.newFactory());
         loop = group.next();
         try {
-            front = loop.submit(() -> new Front(settings, options, loop, log)).syncUninterruptibly().getNow();
-            listener = listen(settings, log);
+            front = loop.submit(() -> new Front(wiring, options, loop, log)).syncUninterruptibly().getNow();
+            listener = listen(wiring);
         } catch (RuntimeException e) {
             group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
             throw e;
         }
-        log.atInfo().addKeyValue("node", settings.node().name()).addKeyValue("address", address().toString())
+        log.atInfo().addKeyValue("node", wiring.name()).addKeyValue("address", address().toString())
             .log("listening");
     }
 
-    private Channel listen(NodeSettings settings, Logger log) throws IOException {
-        var limits = Defaults.limits(settings);
+    private Channel listen(Wiring wiring) throws IOException {
+        var limits = wiring.limits();
+        Logger log = LoggerFactory.getLogger("thistlefall.node");
         var bind = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
@@ -77,17 +78,18 @@
                 @Override
                 protected void initChannel(SocketChannel channel) {
                     var decoder = new RequestDecoder(Defaults.http(limits));
-                    var client = new ClientConnection(front.intake(), log::info, front.timers(), limits, decoder);
+                    var client = new ClientConnection(front.intake(), log::info, front.timers(), limits,
+                        wiring.dialect(), decoder);
                     if (front.intake().opened(client)) {
                         channel.pipeline().addLast(decoder, client);
                     } else {
                         channel.close();
                     }
                 }
-            }).bind(settings.listen().host(), settings.listen().port()).awaitUninterruptibly();
+            }).bind(wiring.listen()).awaitUninterruptibly();
         if (!bind.isSuccess()) {
             group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
-            throw new IOException("can't listen at " + settings.listen().host() + ":" + settings.listen().port()
+            throw new IOException("can't listen at " + wiring.listen().getHostString() + ":" + wiring.listen().getPort()
                 + ": " + bind.cause().getMessage(), bind.cause());
         }
         return bind.channel();
@@ -104,7 +106,12 @@
 
     /** Starts a node with options of its own. */
     public static EdgeNode start(NodeSettings settings, Options options) throws IOException {
-        return new EdgeNode(settings, options);
+        return start(SettingsWiring.of(settings), options);
+    }
+
+    /** Starts a node put together by a platform's own adapter. */
+    public static EdgeNode start(Wiring wiring, Options options) throws IOException {
+        return new EdgeNode(wiring, options);
     }
 
     /** Where it listens. */
--- a/edge/src/main/java/thistlefall/edge/host/Exchange.java
+++ b/edge/src/main/java/thistlefall/edge/host/Exchange.java
@@ -9,9 +9,14 @@
     final ClientConnection client;
     final Head.Request head;
     final RequestBody body;
-    /** Reading of the monotonic clock at which the head may have come at the earliest. */
-    final long arrived;
+    /** Reading of the monotonic clock at which it may have come at the earliest: its head, or the last byte of it. */
+    long arrived;
+    /** Whether it has been handed to the gate. */
+    boolean begun;
     Routes.Route route;
+    Wanted wanted;
+    /** The client's own name for it; null where clients give none. */
+    String clientId;
     Ledger.Entry entry;
     long waiter;
     TokenKey key;
--- a/edge/src/main/java/thistlefall/edge/host/Front.java
+++ b/edge/src/main/java/thistlefall/edge/host/Front.java
@@ -4,10 +4,7 @@
 import java.util.SplittableRandom;
 import org.slf4j.Logger;
 import thistlefall.Ports;
-import thistlefall.edge.http.HttpLimits;
 import thistlefall.edge.settings.Defaults;
-import thistlefall.edge.settings.NodeSettings;
-import thistlefall.edge.upstream.ServerPool;
 import thistlefall.ledger.Cause;
 import thistlefall.ledger.Ledger;
 
@@ -20,44 +17,48 @@
     private final NodeCounts counts = new NodeCounts();
     private final Timers timers;
     private final Answers answers;
-    private final TokenCheck tokens;
+    private final Gate gate;
     private final Upstreams upstreams;
     private final Carrier carrier;
     private final CounterSide counter;
     private final ListSide list;
     private final Intake intake;
 
-    Front(NodeSettings settings, EdgeNode.Options options, EventLoop loop, Logger log) {
+    Front(Wiring wiring, EdgeNode.Options options, EventLoop loop, Logger log) {
         var random = new SplittableRandom(options.seed());
-        String name = settings.node().name();
+        String name = wiring.name();
         Seams seams = options.seams();
         clock = new NodeClock(name, options.wall(), log);
-        Ports.Settings module = seams.settings(Defaults.module(settings));
-        var limits = Defaults.limits(settings);
-        HttpLimits http = Defaults.http(limits);
+        Ports.Settings module = seams.settings(wiring.module());
+        var limits = wiring.limits();
+        Dialect dialect = wiring.dialect();
         String life = name + "-" + Long.toString(clock.now() / 1_000_000, 36) + "-";
         answers = new Answers(name, new Ledger(life, limits.maxOpen(), LEDGER_GUARD, System.nanoTime()), counts, seams, log,
             limits.logEvery());
         timers = new Timers(loop, this::beat);
-        var s = settings.servers();
-        upstreams = new Upstreams(loop, new ServerPool.Limits(s.maxConnections() == null ? 100 : s.maxConnections(),
-            Defaults.connectTimeout(settings), Defaults.nanos(s.idleTimeout(), 15_000_000_000L),
-            settings.node().sourceAddress()), http, s.probePath() == null ? "/health" : s.probePath(),
-            Defaults.reports(settings), this::probed);
-        carrier = new Carrier(name, loop, log, clock, timers, counts, answers, module, upstreams);
-        tokens = new TokenCheck(settings, loop, random.nextLong(), clock, counts, answers, carrier::log,
-            carrier::entitled);
-        counter = new CounterSide(settings, loop, random.nextLong(), counts, carrier::counted);
-        list = new ListSide(settings, loop, random.nextLong(), counts, upstreams, log, carrier::list);
-        intake = new Intake(new Routes(settings), module, limits.maxConnections(), clock, counts, answers);
-        intake.join(tokens, carrier);
-        carrier.join(intake, tokens, counter);
+        upstreams = new Upstreams(loop, wiring.pools(), Defaults.http(limits), wiring.probePath(), dialect,
+            module.reports(), this::probed);
+        carrier = new Carrier(name, loop, log, clock, timers, counts, answers, module, upstreams, dialect);
+        intake = new Intake(limits.maxConnections(), clock, counts, answers);
+        list = new ListSide(wiring, loop, random.nextLong(), counts, upstreams, carrier::list, log);
+        gate = gate(wiring, module, loop, random.nextLong());
+        counter = new CounterSide(loop, wiring.parts().counter(loop, random.nextLong()), counts, carrier::counted);
+        intake.join(gate, carrier);
+        carrier.join(intake, gate, counter);
         loop.execute(() -> {
             carrier.start(random.nextLong(), seams);
             list.start(seams);
         });
     }
 
+    private Gate gate(Wiring wiring, Ports.Settings module, EventLoop loop, long seed) {
+        if (wiring.reader() != null) {
+            return new PlainGate(wiring.reader(), module, intake, carrier, answers, counts, list::known);
+        }
+        return new TokenGate(wiring.tokens(), module, intake, carrier, entitled -> new TokenCheck(wiring.tokens(), loop,
+            seed, clock, counts, answers, carrier::log, entitled));
+    }
+
     private void probed(String server, Ports.Outcome outcome, long took, java.util.List<Double> report) {
         carrier.probed(server, outcome, took, report);
     }
@@ -77,7 +78,7 @@
     private void beat() {
         long mono = System.nanoTime();
         clock.beat(mono);
-        tokens.beat();
+        gate.beat();
         answers.expire(mono, carrier::gone);
     }
 
@@ -105,7 +106,7 @@
         answers.dropAll();
         intake.close();
         upstreams.close();
-        tokens.close();
+        gate.close();
         counter.close();
     }
 }
--- a/edge/src/main/java/thistlefall/edge/host/Intake.java
+++ b/edge/src/main/java/thistlefall/edge/host/Intake.java
@@ -1,9 +1,9 @@
 package thistlefall.edge.host;
 
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import thistlefall.Ports;
 import thistlefall.Ports.RequestClass;
 import thistlefall.clock.SharedTimeline;
 import thistlefall.ledger.Cause;
@@ -12,22 +12,19 @@
 final class Intake {
     /** The module and the desk are told a deadline so much before the client's, so that the answer is written in time. */
     static final long GUARD = 30_000_000L;
-    private static final String TIMEOUT_FIELD = "request-timeout";
 
-    private final Routes routes;
-    private final Ports.Settings module;
     private final int maxConnections;
     private final NodeClock clock;
     private final NodeCounts counts;
     private final Answers answers;
     private final Set<ClientConnection> clients = new HashSet<>();
-    private TokenCheck tokens;
+    /** Those without a request, the one that has been so longest first. */
+    private final Set<ClientConnection> idle = new LinkedHashSet<>();
+    private Gate gate;
     private Carrier carrier;
     private boolean draining;
 
-    Intake(Routes routes, Ports.Settings module, int maxConnections, NodeClock clock, NodeCounts counts, Answers answers) {
-        this.routes = routes;
-        this.module = module;
+    Intake(int maxConnections, NodeClock clock, NodeCounts counts, Answers answers) {
         this.maxConnections = maxConnections;
         this.clock = clock;
         this.counts = counts;
@@ -35,12 +32,17 @@
     }
 
     /** Where requests go on to. */
-    void join(TokenCheck check, Carrier carry) {
-        tokens = check;
+    void join(Gate through, Carrier carry) {
+        gate = through;
         carrier = carry;
     }
 
     boolean opened(ClientConnection client) {
+        if (clients.size() >= maxConnections && !idle.isEmpty()) {
+            // Whoever has asked nothing for longest makes room for somebody who may.
+            counts.idleClosed++;
+            idle.iterator().next().close();
+        }
         if (draining || clients.size() >= maxConnections) {
             counts.connectionsTurnedAway++;
             return false;
@@ -49,40 +51,36 @@
         return true;
     }
 
+    /** A connection has no request now, or has one again. */
+    void idle(ClientConnection client, boolean is) {
+        idle.remove(client);
+        if (is) {
+            idle.add(client);
+        }
+    }
+
     void closed(ClientConnection client) {
         clients.remove(client);
+        idle.remove(client);
     }
 
     /** A request is at the head of its connection's line. */
     void begin(Exchange exchange) {
-        Routes.Route route = routes.find(exchange.head.method(), exchange.head.path());
         counts.requests++;
-        if (route == null) {
-            exchange.client.answer(exchange, Problem.client(404, "no such path here"));
-            return;
-        }
-        exchange.route = route;
-        String token = TokenCheck.bearer(exchange.head.fields());
-        if (token == null) {
-            exchange.client.answer(exchange, Problem.unauthorized("a bearer token is needed", false));
-            return;
-        }
+        exchange.begun = true;
+        gate.begin(exchange);
+    }
+
+    /** Takes a request in, from here on an answer is owed; false if it has been refused for want of room. */
+    boolean accept(Exchange exchange, RequestClass spec, long patience) {
         if (draining || !answers.hasRoom()) {
             Cause cause = draining ? Cause.STOPPING : Cause.FULL;
             counts.refused(cause);
             exchange.client.answer(exchange, Problem.refused(cause, 0));
-            return;
+            return false;
         }
-        RequestClass spec = module.classes().get(route.requestClass());
-        answers.accept(exchange, spec, exchange.arrived + patience(exchange, spec));
-        tokens.check(exchange, token, sharedDeadline(exchange));
-    }
-
-    /** How long the client waits: as it says, but no longer than its class allows. */
-    private static long patience(Exchange exchange, RequestClass spec) {
-        String told = exchange.head.fields().get(TIMEOUT_FIELD);
-        Double ms = told == null ? null : LoadReport.number(told);
-        return ms == null ? spec.deadline() : Math.min(spec.deadline(), (long) (ms * 1e6));
+        answers.accept(exchange, spec, exchange.arrived + patience);
+        return true;
     }
 
     /** The deadline in shared time, as told to the module and the desk: never later than the client's. */
@@ -127,7 +125,7 @@
     }
 
     private void leave(Exchange exchange) {
-        tokens.leave(exchange);
+        gate.leave(exchange);
         carrier.gone(exchange);
     }
 
--- a/edge/src/main/java/thistlefall/edge/host/ListSide.java
+++ b/edge/src/main/java/thistlefall/edge/host/ListSide.java
@@ -1,19 +1,13 @@
 package thistlefall.edge.host;
 
 import io.netty.channel.EventLoop;
-import java.net.URI;
-import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import thistlefall.Ports.ListKind;
 import thistlefall.Ports.Server;
-import thistlefall.edge.list.ConsulList;
-import thistlefall.edge.list.FileList;
-import thistlefall.edge.list.ListReader;
 import thistlefall.edge.list.ListSource;
 import thistlefall.edge.list.Listed;
-import thistlefall.edge.settings.NodeSettings;
 import thistlefall.roster.Roster;
 
 /** Follows the server list: from its source through the roster's guard to the pools and the module. */
@@ -24,30 +18,31 @@
         void changed(ListKind kind, List<Server> entries);
     }
 
-    private static final long HOLD = 3_000_000_000L;
-
     private final String node;
     private final EventLoop loop;
     private final Logger log;
     private final NodeCounts counts;
     private final Upstreams upstreams;
     private final Changed changed;
-    private final Roster roster = new Roster(new Roster.Policy(0.5, HOLD));
+    private final Roster roster;
+    private final long hold;
     private final ListSource source;
 
-    ListSide(NodeSettings settings, EventLoop loop, long seed, NodeCounts counts, Upstreams upstreams, Logger log,
-             Changed changed) {
-        node = settings.node().name();
+    ListSide(Wiring wiring, EventLoop loop, long seed, NodeCounts counts, Upstreams upstreams, Changed changed, Logger log) {
+        node = wiring.name();
         this.loop = loop;
         this.counts = counts;
         this.upstreams = upstreams;
         this.log = log;
         this.changed = changed;
-        ListReader reader = new ListReader(settings.zones() == null ? List.of() : settings.zones(),
-            settings.kinds() == null ? List.of() : settings.kinds());
-        var s = settings.servers();
-        source = s.file() != null ? new FileList(loop, Path.of(s.file()), reader)
-            : new ConsulList(loop, URI.create(s.consul()), s.service(), reader, seed, settings.node().sourceAddress());
+        roster = new Roster(wiring.doubt());
+        hold = wiring.doubt().confirmAfter();
+        source = wiring.parts().list(loop, seed);
+    }
+
+    /** Whether any server is known. */
+    boolean known() {
+        return !roster.servers().isEmpty();
     }
 
     void start(Seams seams) {
@@ -61,11 +56,30 @@
     @Override
     public void list(long index, List<Listed> listed) {
         upstreams.addresses(listed);
-        Roster.Change change = roster.full(System.nanoTime(), index, listed.stream().map(Listed::server).toList());
+        take(roster.full(System.nanoTime(), index, servers(listed)), index, listed);
+    }
+
+    @Override
+    public void saved(List<Listed> listed) {
+        upstreams.addresses(listed);
+        take(roster.cached(servers(listed)), 0, listed);
+    }
+
+    @Override
+    public void changes(long index, List<Listed> listed) {
+        upstreams.addresses(listed);
+        take(roster.changes(index, servers(listed)), index, listed);
+    }
+
+    private static List<Server> servers(List<Listed> listed) {
+        return listed.stream().map(Listed::server).toList();
+    }
+
+    private void take(Roster.Change change, long index, List<Listed> listed) {
         if (change.note() != null) {
             log.atWarn().addKeyValue("node", node).log(change.note());
             if (change.kind() != null || !listed.isEmpty()) {
-                loop.schedule(() -> list(index, listed), HOLD + 100_000_000L, TimeUnit.NANOSECONDS);
+                loop.schedule(() -> list(index, listed), hold + 100_000_000L, TimeUnit.NANOSECONDS);
             }
         }
         upstreams.list(roster.servers());
--- a/edge/src/main/java/thistlefall/edge/host/NodeCounts.java
+++ b/edge/src/main/java/thistlefall/edge/host/NodeCounts.java
@@ -22,6 +22,8 @@
     long endedByLedger;
     long connectionsTurnedAway;
     long listFailures;
+    long unreadable;
+    long idleClosed;
     private final long[] refusedFor = new long[Cause.values().length];
 
     NodeCounts() {
@@ -51,6 +53,8 @@
         map.put("ended_by_ledger", endedByLedger);
         map.put("connections_turned_away", connectionsTurnedAway);
         map.put("list_failures", listFailures);
+        map.put("unreadable", unreadable);
+        map.put("idle_closed", idleClosed);
         for (Cause cause : Cause.values()) {
             if (refusedFor[cause.ordinal()] > 0) {
                 map.put("refused_" + cause.code().replace('-', '_'), refusedFor[cause.ordinal()]);
--- a/edge/src/main/java/thistlefall/edge/host/Problem.java
+++ b/edge/src/main/java/thistlefall/edge/host/Problem.java
@@ -28,6 +28,12 @@
         return new Problem(504, "failed", "Failed; whether it took effect is unknown", sentence(cause), cause, 0, null);
     }
 
+    /** Whether the node is ready to take requests, for whoever watches over it. */
+    static Problem readiness(boolean ready) {
+        return new Problem(ready ? 200 : 503, "readiness", ready ? "Ready" : "Not ready",
+            ready ? "requests are taken" : "no server list has come", null, 0, null);
+    }
+
     static Problem client(int status, String detail) {
         return new Problem(status, "request", "The request can't be taken", detail, null, 0, null);
     }
--- a/edge/src/main/java/thistlefall/edge/host/RequestBody.java
+++ b/edge/src/main/java/thistlefall/edge/host/RequestBody.java
@@ -38,6 +38,18 @@
         return trailers != null;
     }
 
+    /** Bytes held. */
+    int size() {
+        return heldBytes;
+    }
+
+    /** Writes all that is held. */
+    void copyTo(ByteBuf out) {
+        for (ByteBuf piece : held) {
+            out.writeBytes(piece, piece.readerIndex(), piece.readableBytes());
+        }
+    }
+
     /** Whether all that came is still here for another attempt. */
     boolean replayable() {
         return !lost;
--- a/edge/src/main/java/thistlefall/edge/host/TokenCheck.java
+++ b/edge/src/main/java/thistlefall/edge/host/TokenCheck.java
@@ -25,6 +25,12 @@
         void entitled(Exchange exchange, long customer, int plan);
     }
 
+    /** Makes a check whose verdicts go to somebody. */
+    interface Maker {
+        /** Makes it. */
+        TokenCheck make(Entitled entitled);
+    }
+
     private final NodeClock clock;
     private final NodeCounts counts;
     private final Answers answers;
--- a/edge/src/main/java/thistlefall/edge/host/Upstreams.java
+++ b/edge/src/main/java/thistlefall/edge/host/Upstreams.java
@@ -29,6 +29,7 @@
     private final ServerPool.Limits limits;
     private final HttpLimits http;
     private final String probePath;
+    private final Dialect dialect;
     private final List<String> reports;
     private final Probed probed;
     private final Map<String, InetSocketAddress> addresses = new HashMap<>();
@@ -36,12 +37,13 @@
     /** Servers with a probe out, and how many were asked for meanwhile: one answer serves all. */
     private final Map<String, Integer> probing = new HashMap<>();
 
-    Upstreams(EventLoop loop, ServerPool.Limits limits, HttpLimits http, String probePath, List<String> reports,
-              Probed probed) {
+    Upstreams(EventLoop loop, ServerPool.Limits limits, HttpLimits http, String probePath, Dialect dialect,
+              List<String> reports, Probed probed) {
         this.loop = loop;
         this.limits = limits;
         this.http = http;
         this.probePath = probePath;
+        this.dialect = dialect;
         this.reports = reports;
         this.probed = probed;
     }
@@ -98,7 +100,7 @@
         loop.execute(() -> Call.send(loop, pool, "GET", probePath, fields, new byte[0], 4096, PROBE_TIMEOUT, reply -> {
             long took = System.nanoTime() - started;
             Outcome outcome = outcome(reply);
-            List<Double> report = reply.end() == End.ANSWER ? LoadReport.of(reply.fields(), reports) : List.of();
+            List<Double> report = reply.end() == End.ANSWER ? dialect.report(reply.fields(), reports) : List.of();
             for (int i = probing.remove(id); i > 0; i--) {
                 probed.probed(id, outcome, took, report);
             }
--- a/edge/src/main/java/thistlefall/edge/http/Fields.java
+++ b/edge/src/main/java/thistlefall/edge/http/Fields.java
@@ -3,7 +3,10 @@
 import io.netty.buffer.ByteBuf;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
+import java.util.Set;
 import java.util.function.Predicate;
 
 /**
@@ -85,25 +88,54 @@
         return false;
     }
 
+    /** Names, in lower case, of the fields that a message marks as belonging to its connection (RFC 9110, 7.6.1). */
+    public Set<String> nominated() {
+        if (!has("connection")) {
+            return Set.of();
+        }
+        Set<String> names = new HashSet<>();
+        for (String value : all("connection")) {
+            for (String name : value.split(",")) {
+                names.add(name.strip().toLowerCase(Locale.ROOT));
+            }
+        }
+        return names;
+    }
+
     /** Writes the lines whose lower-case name passes, as {@code name: value CRLF}. */
     public void writeTo(ByteBuf out, Predicate<String> pass) {
         for (int line = 0; line < count; line++) {
             if (pass.test(lowerName(line))) {
-                int at = line * SPANS;
-                out.writeBytes(block, spans[at], spans[at + 1] - spans[at]);
-                out.writeShort(':' << 8 | ' ');
-                out.writeBytes(block, spans[at + 2], spans[at + 3] - spans[at + 2]);
-                out.writeShort('\r' << 8 | '\n');
+                write(out, line);
+            }
+        }
+    }
+
+    /** Writes the lines whose name is not of a set, nor of some further names in lower case. */
+    public void writeExcept(ByteBuf out, Names except, Set<String> further) {
+        for (int line = 0; line < count; line++) {
+            int at = line * SPANS;
+            if (except.find(block, spans[at], spans[at + 1]) == null
+                && (further.isEmpty() || !further.contains(lowerName(line)))) {
+                write(out, line);
             }
         }
     }
 
+    private void write(ByteBuf out, int line) {
+        int at = line * SPANS;
+        out.writeBytes(block, spans[at], spans[at + 1] - spans[at]);
+        out.writeShort(':' << 8 | ' ');
+        out.writeBytes(block, spans[at + 2], spans[at + 3] - spans[at + 2]);
+        out.writeShort('\r' << 8 | '\n');
+    }
+
     /** The name of a line in lower case. */
     public String lowerName(int line) {
         int start = spans[line * SPANS];
         int end = spans[line * SPANS + 1];
         String known = CommonNames.find(block, start, end);
-        return known != null ? known : text(start, end).toLowerCase(java.util.Locale.ROOT);
+        return known != null ? known : text(start, end).toLowerCase(Locale.ROOT);
     }
 
     private boolean same(String lowerName, int start, int length) {
--- a/edge/src/main/java/thistlefall/edge/http/HttpWriter.java
+++ b/edge/src/main/java/thistlefall/edge/http/HttpWriter.java
@@ -6,14 +6,17 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /** Writes heads and chunks. */
 public final class HttpWriter {
     /** Fields of one connection, not of the message: never passed on (RFC 9110 section 7.6.1). */
-    private static final Set<String> HOP = Set.of("connection", "keep-alive", "proxy-connection", "te", "trailer",
-        "transfer-encoding", "upgrade", "content-length", "expect", "proxy-authorization", "proxy-authenticate");
+    private static final String[] HOP_NAMES = {"connection", "keep-alive", "proxy-connection", "te", "trailer",
+        "transfer-encoding", "upgrade", "content-length", "expect", "proxy-authorization", "proxy-authenticate"};
+    private static final Set<String> HOP = Set.of(HOP_NAMES);
     private static final byte[] VERSION = ascii(" HTTP/1.1\r\n");
     private static final byte[] CHUNKED = ascii("Transfer-Encoding: chunked\r\n");
     private static final byte[] LENGTH = ascii("Content-Length: ");
@@ -42,6 +45,11 @@
         return !HOP.contains(lowerName);
     }
 
+    /** The fields of one connection, and some of a node's own. */
+    public static Names hopByHopAnd(String... lowerNames) {
+        return Names.of(Stream.concat(Arrays.stream(HOP_NAMES), Arrays.stream(lowerNames)).toArray(String[]::new));
+    }
+
     /** Begins a request. */
     public static ByteBuf request(ByteBufAllocator alloc, String method, String target) {
         ByteBuf out = alloc.ioBuffer(512);
--- a/edge/src/main/java/thistlefall/edge/list/ListSource.java
+++ b/edge/src/main/java/thistlefall/edge/list/ListSource.java
@@ -9,6 +9,16 @@
         /** The whole list at a version of the source. */
         void list(long index, List<Listed> servers);
 
+        /** The whole list as saved before this start; it may be old. */
+        default void saved(List<Listed> servers) {
+            list(Long.MIN_VALUE, servers);
+        }
+
+        /** The entries that changed, those gone included, up to a version of the source. */
+        default void changes(long index, List<Listed> servers) {
+            throw new UnsupportedOperationException("this listener takes whole lists only");
+        }
+
         /** The source failed or answered something that is no list. */
         void failed(String reason);
 
--- a/edge/src/main/java/thistlefall/edge/resp/Counter.java
+++ b/edge/src/main/java/thistlefall/edge/resp/Counter.java
@@ -5,9 +5,11 @@
 import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import thistlefall.edge.count.CounterCalls;
+import thistlefall.edge.count.CounterClient;
 
 /** The shared counter in its parts. A name always goes to the same part: the one whose hash with it is highest. */
-public final class Counter {
+public final class Counter implements CounterCalls {
     private final List<CounterClient> parts = new ArrayList<>();
     private final List<Long> seeds = new ArrayList<>();
 
@@ -15,13 +17,13 @@
     public Counter(EventLoop loop, List<? extends SocketAddress> addresses, long timeout, long seed,
                    String source) {
         for (SocketAddress address : addresses) {
-            parts.add(new CounterClient(loop, address, timeout, seed ^ address.toString().hashCode(), source));
+            parts.add(new CounterClient(loop, new RespWire(), address, timeout, seed ^ address.toString().hashCode(), source));
             seeds.add(Hashing.xxh3_64().hashCharsToLong(address.toString()));
         }
     }
 
-    /** Adds to a count; see {@link CounterClient#add}. */
-    public void add(long name, double amount, long lifetime, CounterClient.Done done) {
+    @Override
+    public void add(long name, double amount, long lifetime, Done done) {
         int best = 0;
         long highest = Long.MIN_VALUE;
         for (int i = 0; i < parts.size(); i++) {
@@ -39,7 +41,7 @@
         return parts.stream().allMatch(CounterClient::connected);
     }
 
-    /** Ends all calls. */
+    @Override
     public void close() {
         parts.forEach(CounterClient::close);
     }
--- a/edge/src/main/java/thistlefall/edge/settings/NodeSettings.java
+++ b/edge/src/main/java/thistlefall/edge/settings/NodeSettings.java
@@ -72,15 +72,17 @@
      * @param maxBody bytes of a body
      * @param replayBody bytes of a request body that are held for another attempt; longer ones are sent once
      * @param headTimeout a head must be whole this long after its first byte
+     * @param firstTimeout a client connection that has asked nothing is closed this long after its opening
      * @param idleTimeout a client connection without a request is closed after this
+     * @param linger how long after its last answer a client may still send before its connection is closed
      * @param writeStall a client that takes nothing for this long is cut off
      * @param maxRetryAfter the longest advice to stay away
      * @param logEvery one request in so many is logged; 0 for none
      */
     public record LimitSettings(Integer maxAttempts, Integer maxOpen, Integer maxConnections,
                                 Integer maxPipelined, Integer maxLine, Integer maxHead, Integer maxFields,
-                                Long maxBody, Integer replayBody, Duration headTimeout, Duration idleTimeout,
-                                Duration writeStall, Duration maxRetryAfter, Integer logEvery) {
+                                Long maxBody, Integer replayBody, Duration headTimeout, Duration firstTimeout,
+                                Duration idleTimeout, Duration linger, Duration writeStall, Duration maxRetryAfter, Integer logEvery) {
     }
 
     /** The introspection service; see {@link thistlefall.token.DeskPolicy} for the figures. */
--- a/edge/src/main/java/thistlefall/edge/upstream/ServerConnection.java
+++ b/edge/src/main/java/thistlefall/edge/upstream/ServerConnection.java
@@ -20,7 +20,8 @@
     private boolean requestWhole;
     private boolean answerWhole;
     private boolean keep;
-    private boolean sawFinalHead;
+    private boolean surplus;
+    private boolean reading;
     private BodyEnd end;
     long idleSince;
 
@@ -45,7 +46,7 @@
         user = exchanger;
         requestWhole = false;
         answerWhole = false;
-        sawFinalHead = false;
+        surplus = false;
         keep = true;
         end = null;
         decoder.expect(headMethod);
@@ -55,7 +56,7 @@
     /** The whole request has been written. */
     public void requestWritten() {
         requestWhole = true;
-        if (answerWhole) {
+        if (answerWhole && !reading) {
             finish();
         }
     }
@@ -73,17 +74,23 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
+        reading = true;
         if (user == null) {
             // Bytes that no request asked for: whatever they are, the next answer would be mistaken.
             ReferenceCountUtil.release(message);
             channel.close();
             return;
         }
+        if (answerWhole) {
+            // More than belongs to the answer: that stands, but nothing else may come by this connection.
+            ReferenceCountUtil.release(message);
+            surplus = true;
+            return;
+        }
         if (message instanceof ByteBuf piece) {
             user.body(piece);
         } else if (message instanceof Head.Response head) {
             if (head.status() >= 200) {
-                sawFinalHead = true;
                 keep = head.keepAlive() && head.framing().kind() != thistlefall.edge.http.Framing.Kind.CLOSE;
                 user.head(head);
             }
@@ -94,17 +101,25 @@
                 // Answered before it had the whole request: the rest of that must not come before the next one.
                 keep = false;
             }
-            finish();
         } else if (message instanceof Malformed) {
             lose(End.GARBLED);
         }
     }
 
+    /** All that had come has been read: only now is it known whether more came than the answer. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        reading = false;
+        if (user != null && answerWhole) {
+            finish();
+        }
+    }
+
     private void finish() {
         Exchanger done = user;
         BodyEnd with = end;
         user = null;
-        if (keep && requestWhole && channel.isActive()) {
+        if (keep && requestWhole && !surplus && decoder.idle() && channel.isActive()) {
             pool.release(this);
         } else {
             channel.close();
@@ -133,7 +148,11 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         pool.closed(this);
-        lose(End.CLOSED);
+        if (user != null && answerWhole) {
+            finish();
+        } else {
+            lose(End.CLOSED);
+        }
     }
 
     @Override
--- a/edge/src/main/java/thistlefall/edge/upstream/ServerPool.java
+++ b/edge/src/main/java/thistlefall/edge/upstream/ServerPool.java
@@ -113,6 +113,12 @@
                 taker.none(End.REFUSED);
                 return;
             }
+            if (draining) {
+                // The word that it drains came while the connection was made.
+                channel.close();
+                taker.none(End.NO_PLACE);
+                return;
+            }
             connection.use(user, headMethod);
             taker.ready(connection);
         });
--- a/standin/src/main/java/thistlefall/standin/count/CounterServer.java
+++ b/standin/src/main/java/thistlefall/standin/count/CounterServer.java
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.math.BigDecimal;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -129,6 +130,8 @@
         private List<List<String>> queued;
         private boolean broken;
         private long readyAt = System.nanoTime();
+        /** Replies that wait, in their order: timers due within a microsecond of each other may fire in any. */
+        private final ArrayDeque<ByteBuf> late = new ArrayDeque<>();
 
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
@@ -153,7 +156,8 @@
             } else if (wait > 0 || readyAt > now) {
                 // Replies never overtake each other, also when it has just become quick again.
                 readyAt = Math.max(readyAt + 1, now + wait);
-                loop.schedule(() -> context.writeAndFlush(out), readyAt - System.nanoTime(), TimeUnit.NANOSECONDS);
+                late.add(out);
+                loop.schedule(() -> context.writeAndFlush(late.remove()), readyAt - System.nanoTime(), TimeUnit.NANOSECONDS);
             } else {
                 context.write(out, context.voidPromise());
             }
--- a/standin/src/test/java/thistlefall/standin/CounterClientTest.java
+++ b/standin/src/test/java/thistlefall/standin/CounterClientTest.java
@@ -15,7 +15,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import thistlefall.Ports.Outcome;
-import thistlefall.edge.resp.CounterClient;
+import thistlefall.edge.count.CounterClient;
+import thistlefall.edge.resp.RespWire;
 import thistlefall.standin.count.CounterServer;
 
 /** Calls to a counter that is silent, slow, dead, back or wrong: each ends once, in order, and truly. */
@@ -32,7 +33,7 @@
     @BeforeEach
     void start() {
         server.listen("127.0.0.1", 0);
-        client = new CounterClient(loop, server.address(), 100 * MS, 3, null);
+        client = new CounterClient(loop, new RespWire(), server.address(), 100 * MS, 3, null);
         NodeUnderTest.until(this::connected);
     }
 
@@ -137,7 +138,7 @@
             }
         })) {
             client.close();
-            client = new CounterClient(loop, new java.net.InetSocketAddress("127.0.0.1", raw.port()), 2_000 * MS, 3, null);
+            client = new CounterClient(loop, new RespWire(), new java.net.InetSocketAddress("127.0.0.1", raw.port()), 2_000 * MS, 3, null);
             NodeUnderTest.until(this::connected);
             add("a", 1);
             awaitAll();
@@ -152,7 +153,7 @@
             RawServer.write(socket, "HTTP/1.1 400 Bad Request\r\n\r\n");
         })) {
             client.close();
-            client = new CounterClient(loop, new java.net.InetSocketAddress("127.0.0.1", raw.port()), 2_000 * MS, 3, null);
+            client = new CounterClient(loop, new RespWire(), new java.net.InetSocketAddress("127.0.0.1", raw.port()), 2_000 * MS, 3, null);
             NodeUnderTest.until(this::connected);
             add("a", 1);
             awaitAll();
