--- a/edge/src/main/java/thistlefall/edge/host/Timers.java
+++ b/edge/src/main/java/thistlefall/edge/host/Timers.java
@@ -7,7 +7,8 @@
 
 /** Timers of one event loop on a wheel: cheap to set and cancel, accurate to a few milliseconds. */
 final class Timers {
-    private static final long BEAT = 2_000_000L;
+    private static final long BEAT = 5_000_000L;
+    private static final long STALL = 20_000_000L;
 
     private final DeadlineWheel<Runnable> wheel;
     private final Future<?> beat;
@@ -42,7 +43,7 @@
 
     /** Whether the loop was held up: its beat is long overdue. */
     boolean stalled() {
-        return System.nanoTime() - lastBeat > 10 * BEAT;
+        return System.nanoTime() - lastBeat > STALL;
     }
 
     void stop() {
--- a/standin/src/main/java/thistlefall/standin/net/HttpStand.java
+++ b/standin/src/main/java/thistlefall/standin/net/HttpStand.java
@@ -19,6 +19,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import thistlefall.edge.http.BodyEnd;
+import thistlefall.edge.http.Framing;
 import thistlefall.edge.http.Head;
 import thistlefall.edge.http.HttpLimits;
 import thistlefall.edge.http.HttpWriter;
@@ -100,6 +101,24 @@
             return true;
         }
 
+        /** Begins an answer that stays open; pieces follow by {@link #chunk}. */
+        public void stream(int status) {
+            answered = true;
+            ByteBuf out = HttpWriter.response(channel.alloc(), status);
+            channel.writeAndFlush(HttpWriter.end(HttpWriter.framing(out, Framing.CHUNKED, false)));
+        }
+
+        /** A piece of an answer that stays open. Called on the loop. */
+        public void chunk(String text) {
+            HttpWriter.piece(channel, channel.alloc().buffer().writeBytes(text.getBytes(StandardCharsets.UTF_8)), true);
+        }
+
+        /** Writes bytes as they are; the connection stays open. */
+        public void raw(String text) {
+            answered = true;
+            channel.writeAndFlush(channel.alloc().buffer().writeBytes(text.getBytes(StandardCharsets.ISO_8859_1)));
+        }
+
         /** Writes raw bytes in place of an answer, and ends the connection. */
         public void garble(String text) {
             answered = true;
--- /dev/null
+++ b/standin/src/main/java/thistlefall/standin/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for what surrounds a node on the users' platform, written from the page of its protocol. */
+package thistlefall.standin.platform;
