An idle connection closed for a new one gives its place at once

Cause: Intake.opened closed the eldest idle connection and then looked at a count that falls only when that connection's own end is told, later in the loop's turn, so the new one was turned away all the same. Ruled out: the process's descriptors (178 of 256).

--- a/edge/src/main/java/thistlefall/edge/host/EdgeNode.java
+++ b/edge/src/main/java/thistlefall/edge/host/EdgeNode.java
@@ -2,6 +2,8 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -44,6 +46,14 @@
         }
     }
 
+    /** What a connection that was turned away still has to say is nobody's concern. */
+    private static final class Quiet extends ChannelInboundHandlerAdapter {
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+
     private final MultiThreadIoEventLoopGroup group;
     private final EventLoop loop;
     private final Front front;
@@ -81,6 +91,7 @@
                     if (front.intake().opened(client)) {
                         channel.pipeline().addLast(decoder, client);
                     } else {
+                        channel.pipeline().addLast(new Quiet());
                         channel.close();
                     }
                 }
--- a/edge/src/main/java/thistlefall/edge/host/Intake.java
+++ b/edge/src/main/java/thistlefall/edge/host/Intake.java
@@ -41,7 +41,10 @@
         if (clients.size() >= maxConnections && !idle.isEmpty()) {
             // Whoever has asked nothing for longest makes room for somebody who may.
             counts.idleClosed++;
-            idle.iterator().next().close();
+            ClientConnection eldest = idle.iterator().next();
+            // At once: its own word that it has closed comes later, and the place is wanted now.
+            closed(eldest);
+            eldest.close();
         }
         if (draining || clients.size() >= maxConnections) {
             counts.connectionsTurnedAway++;
