--- a/core/src/main/java/thistlefall/Gateway.java
+++ b/core/src/main/java/thistlefall/Gateway.java
@@ -855,7 +855,8 @@
             double safe = 1 - Math.min(0.97, risk());
             double weight = cfg.sizesTell() && entry.size() > 0 ? entry.size() : 1;
             l *= 1 + (load - usualLoad) / (1 + usualLoad) * Math.exp(-(now - reported) * NANO / REPORT_S);
-            double s = l * (1 + outstanding.size() / weight) / (safe * safe);
+            // The others see what this gateway sees, and send it as much.
+            double s = l * (1 + cfg.siblings() * outstanding.size() / weight) / (safe * safe);
             return entry.zone() == cfg.zone() ? s : s * 1.05;
         }
 
