--- a/core/src/test/java/thistlefall/MechanismTest.java
+++ b/core/src/test/java/thistlefall/MechanismTest.java
@@ -105,6 +105,25 @@
         }
     }
 
+    @Test
+    void theOneServerWithoutTroubleIsNotBuriedByAllGateways() {
+        Host host = new Host(Host.FREE, 4, 0).servers(8);
+        // All but the last have timed out twice, as slow servers do; their kind and zones are all alike.
+        for (int round = 0; round < 40; round++) {
+            String id = host.request(UNSAFE, 1);
+            String to = host.attempts(id).get(0).server();
+            host.end(id, to.equals("h") ? Outcome.OK : Outcome.TIMEOUT);
+        }
+        host.sent.clear();
+        for (int i = 0; i < 12; i++) {
+            host.request(SAFE, 1);
+        }
+        long most = host.sent.stream().filter(sent -> sent.server().equals("h")).count();
+        assertTrue(host.sent.size() >= 10, "sent: " + host.sent.size());
+        // Each of four gateways does the same.
+        assertTrue(most <= 6, "of " + host.sent.size() + " to one server: " + most);
+    }
+
     @Test
     void attemptsThatNeverRanAreNotCharged() {
         Host host = new Host(Host.FREE, 1, 0).servers(6);
--- a/edge/src/main/java/thistlefall/edge/count/CounterClient.java
+++ b/edge/src/main/java/thistlefall/edge/count/CounterClient.java
@@ -28,7 +28,7 @@
  *       added.</li>
  * </ul>
  * A late answer is recognised by its place in the connection's line and dropped. A connection on which nothing comes for
- * four time-outs while an answer is due is closed: it may be dead without a word. Reconnects back off, with chance.
+ * four time-outs while an answer is due is closed, it may be dead without a word; so is one that brings late answers only. Reconnects back off, with chance.
  * All methods are called on the event loop.
  */
 public final class CounterClient {
@@ -53,6 +53,8 @@
     private static final long BACK_OFF = 20_000_000L;
     private static final long BACK_OFF_MOST = 1_000_000_000L;
     private static final int CONNECT_MS = 500;
+    /** So many late answers in a row, and either the counter is far behind or it has left a call out. */
+    private static final int MOST_LATE = 8;
     private static final int MOST_PENDING = 10_000;
     /** In time-outs. */
     private static final long SILENT = 4;
@@ -73,6 +75,7 @@
     private boolean flushing;
     private boolean watching;
     private boolean retired;
+    private int late;
     private Runnable onConnected;
     /** How long nothing has come while an answer was due, and up to when that was counted. */
     private long silence;
@@ -233,8 +236,9 @@
             return;
         }
         wait = BACK_OFF;
+        late = pending.over ? late + 1 : 0;
         pending.end(reply.outcome(), reply.total());
-        if (reply.lost() && channel != null || retired && line.isEmpty()) {
+        if (channel != null && (reply.lost() || late > MOST_LATE || retired && line.isEmpty())) {
             channel.close();
         }
     }
@@ -255,6 +259,7 @@
             List<Pending> lost = List.copyOf(line);
             line.clear();
             waiting.clear();
+            late = 0;
             lost.forEach(pending -> pending.end(Outcome.TIMEOUT, 0));
             later();
         }
--- a/standin/src/main/java/thistlefall/standin/net/HttpStand.java
+++ b/standin/src/main/java/thistlefall/standin/net/HttpStand.java
@@ -63,6 +63,11 @@
             return Network.peer(channel);
         }
 
+        /** A name of the connection it came by, different from those of all others. */
+        public String connection() {
+            return channel.id().asLongText();
+        }
+
         /** Whether the connection is still there. */
         public boolean alive() {
             return channel.isActive();
