Warm-up over an in-process transport; a word to end before the node listens is heard

At fault: Practice.address, Sockets. Also: main thread waits in practice, so a SIGTERM during it was heard only after it (Platform.serve). Change: LocalChannel in place of Unix sockets, 150 requests or 2 s, given up on a word to end; each signal is logged, and one that was ignored at the start is named. Test: PlatformProcessTest holds the process in reading its configuration from a pipe while SIGTERM comes; fails without.

--- a/cli/src/test/java/thistlefall/cli/PlatformProcessTest.java
+++ b/cli/src/test/java/thistlefall/cli/PlatformProcessTest.java
@@ -1,6 +1,7 @@
 package thistlefall.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -122,6 +123,26 @@
         }
     }
 
+    @Test
+    void aWordToEndBeforeItListensEndsItAtOnce() throws Exception {
+        Path pipe = folder.resolve("config.pipe");
+        Path file = folder.resolve("config.json");
+        try (var stand = new Stand(1)) {
+            stand.configure(file);
+            assertEquals(0, new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor());
+            Process process = start(pipe.toString());
+            // Opened once the process reads: its handlers are set by then, and it waits for the end of what it reads.
+            try (var writer = Files.newOutputStream(pipe)) {
+                signal(process, "TERM");
+                until(() -> log().contains("SIGTERM"));
+                writer.write(Files.readAllBytes(file));
+            }
+            assertTrue(process.waitFor(20, TimeUnit.SECONDS), this::log);
+            assertEquals(0, process.exitValue(), this::log);
+            assertFalse(log().contains("node=n0"), this::log);
+        }
+    }
+
     @Test
     void badInputIsOneLineAndAStatus() throws Exception {
         Process none = start(null);
--- a/edge/src/main/java/thistlefall/edge/host/EdgeNode.java
+++ b/edge/src/main/java/thistlefall/edge/host/EdgeNode.java
@@ -9,7 +9,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -63,7 +62,7 @@
     private EdgeNode(Wiring wiring, Options options) throws IOException {
         Logger log = LoggerFactory.getLogger("thistlefall.node");
         group = new MultiThreadIoEventLoopGroup(1,
-            new DefaultThreadFactory("thistlefall-" + wiring.name(), true), NioIoHandler.newFactory());
+            new DefaultThreadFactory("thistlefall-" + wiring.name(), true), Sockets.io(wiring.listen()));
         loop = group.next();
         try {
             front = loop.submit(() -> new Front(wiring, options, loop, log)).syncUninterruptibly().getNow();
@@ -80,7 +79,6 @@
         var limits = wiring.limits();
         Logger log = LoggerFactory.getLogger("thistlefall.node");
         var server = new ServerBootstrap().group(group).channel(Sockets.listener(wiring.listen()))
-            .option(ChannelOption.SO_BACKLOG, 1024)
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(32 * 1024, 64 * 1024))
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override
@@ -97,7 +95,8 @@
                 }
             });
         if (wiring.listen() instanceof InetSocketAddress) {
-            server.option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true);
+            server.option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true);
         }
         var bind = server.bind(wiring.listen()).awaitUninterruptibly();
         if (!bind.isSuccess()) {
