--- a/core/src/main/java/thistlefall/roster/Roster.java
+++ b/core/src/main/java/thistlefall/roster/Roster.java
@@ -23,8 +23,9 @@
      *
      * @param mostLost the part of the listed servers that may vanish in one answer without a second one
      * @param confirmAfter how much later that second one must come, nanoseconds
+     * @param firstWait how long a start waits for the source's first word before a list saved earlier must do, nanoseconds
      */
-    public record Policy(double mostLost, long confirmAfter) {
+    public record Policy(double mostLost, long confirmAfter, long firstWait) {
     }
 
     /** What to tell the module; {@code kind} is null where there is nothing to tell. */
@@ -33,6 +34,7 @@
     }
 
     private final Policy policy;
+    private final long bornAt;
     private final Map<String, Server> listed = new LinkedHashMap<>();
     private long index = Long.MIN_VALUE;
     private long doubtedAt;
@@ -40,8 +42,17 @@
     private boolean everHeard;
 
     /** An empty list that has heard nothing. */
-    public Roster(Policy policy) {
+    public Roster(Policy policy, long now) {
         this.policy = policy;
+        bornAt = now;
+    }
+
+    /**
+     * Whether requests may be taken by this list: a server is known, and the source has spoken since the start, or has had
+     * its time. What it could have told counts as told from the start on, so a saved list alone is a risk.
+     */
+    public boolean usable(long now) {
+        return !listed.isEmpty() && (everHeard || now - bornAt >= policy.firstWait());
     }
 
     /** The servers as they stand. */
--- a/core/src/test/java/thistlefall/roster/RosterTest.java
+++ b/core/src/test/java/thistlefall/roster/RosterTest.java
@@ -15,7 +15,7 @@
 
 class RosterTest {
     private static final long S = 1_000_000_000L;
-    private final Roster roster = new Roster(new Roster.Policy(0.5, 3 * S));
+    private final Roster roster = new Roster(new Roster.Policy(0.5, 3 * S, S), 0);
 
     private static Server server(int i, Readiness readiness) {
         return new Server("s" + i, 1, 0, 0, 0, readiness, 0);
@@ -25,6 +25,25 @@
         return IntStream.range(0, count).mapToObj(i -> server(i, Readiness.READY)).toList();
     }
 
+    @Test
+    void aSavedListServesOnceTheSourceHasSpokenOrHadItsTime() {
+        assertFalse(roster.usable(5 * S), "no server");
+        roster.cached(ready(2));
+        assertFalse(roster.usable(S - 1));
+        assertTrue(roster.usable(S));
+        assertEquals(ListKind.FULL, roster.full(2, 1, ready(1)).kind());
+        assertTrue(roster.usable(3));
+        roster.changes(2, List.of(server(0, Readiness.GONE)));
+        assertFalse(roster.usable(5 * S));
+    }
+
+    @Test
+    void aWordThatNothingChangedIsAWord() {
+        roster.cached(ready(2));
+        roster.changes(7, List.of());
+        assertTrue(roster.usable(1));
+    }
+
     @Test
     void anEmptyAnswerDoesNotEmptyTheListUnlessItStays() {
         roster.full(0, 1, ready(4));
--- a/edge/src/main/java/thistlefall/edge/host/Front.java
+++ b/edge/src/main/java/thistlefall/edge/host/Front.java
@@ -53,7 +53,7 @@
 
     private Gate gate(Wiring wiring, Ports.Settings module, EventLoop loop, long seed) {
         if (wiring.reader() != null) {
-            return new PlainGate(wiring.reader(), module, intake, carrier, answers, counts, list::known);
+            return new PlainGate(wiring.reader(), module, intake, carrier, answers, counts, list::usable);
         }
         return new TokenGate(wiring.tokens(), module, intake, carrier, entitled -> new TokenCheck(wiring.tokens(), loop,
             seed, clock, counts, answers, carrier::log, entitled));
--- a/edge/src/main/java/thistlefall/edge/host/ListSide.java
+++ b/edge/src/main/java/thistlefall/edge/host/ListSide.java
@@ -35,14 +35,14 @@
         this.upstreams = upstreams;
         this.log = log;
         this.changed = changed;
-        roster = new Roster(wiring.doubt());
+        roster = new Roster(wiring.doubt(), System.nanoTime());
         hold = wiring.doubt().confirmAfter();
         source = wiring.parts().list(loop, seed);
     }
 
-    /** Whether any server is known. */
-    boolean known() {
-        return !roster.servers().isEmpty();
+    /** Whether requests may be taken by what is known of the servers. */
+    boolean usable() {
+        return roster.usable(System.nanoTime());
     }
 
     void start(Seams seams) {
@@ -84,6 +84,8 @@
         }
         upstreams.list(roster.servers());
         if (change.kind() != null) {
+            log.atInfo().addKeyValue("node", node).addKeyValue("version", index).addKeyValue("changed", change.entries().size())
+                .addKeyValue("servers", roster.servers().size()).log("server list");
             changed.changed(change.kind(), change.entries());
         }
     }
--- a/edge/src/main/java/thistlefall/edge/host/SettingsWiring.java
+++ b/edge/src/main/java/thistlefall/edge/host/SettingsWiring.java
@@ -33,7 +33,7 @@
             settings.node().sourceAddress());
         return new Wiring(settings.node().name(), new InetSocketAddress(settings.listen().host(), settings.listen().port()),
             Defaults.module(settings), Defaults.limits(settings), pools, s.probePath() == null ? "/health" : s.probePath(),
-            new BearerDialect(), null, settings, new Roster.Policy(0.5, HOLD), new SettingsWiring(settings));
+            new BearerDialect(), null, settings, new Roster.Policy(0.5, HOLD, 0), new SettingsWiring(settings));
     }
 
     @Override
