Connections end by shutdown and discard; a node's end in phases that lose nothing taken

Now ConnectionLife (core): shut the output, read on, discard, bounded by time and number. - linger() cleared the line: pipelined requests already read were never answered (and their buffers never released). - the listener was closed after a fixed 0.5 s, whoever stood in its line; after a stall of the loop nobody had looked. - 'nothing owed' meant the ledger: an answer still being written to a slow reader was cut off by the end of the node. - with more than four requests pipelined reading stopped, and with it word of the client's leaving. - the linger timer ran while the last answer was still being written. EdgeNodeTest's full node: its connections were 'busy' only because lingering ones held places; they don't any more, so the requests of that test now wait for a token. As strict: turned away only when all hundred are busy.

--- a/edge/src/main/java/thistlefall/edge/host/ClientConnection.java
+++ b/edge/src/main/java/thistlefall/edge/host/ClientConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.util.ReferenceCountUtil;
@@ -20,6 +21,7 @@
 import thistlefall.edge.http.Malformed;
 import thistlefall.edge.http.RequestDecoder;
 import thistlefall.edge.settings.NodeSettings.LimitSettings;
+import thistlefall.lifecycle.ConnectionLife;
 import thistlefall.wheel.DeadlineWheel;
 
 /**
@@ -41,12 +43,10 @@
     private Channel channel;
     private Exchange incoming;
     private Malformed fault;
-    private boolean closing;
-    private boolean closeAfter;
+    private final ConnectionLife life = new ConnectionLife();
     private boolean chunked;
     private boolean handing;
     private boolean headArmed;
-    private boolean lingering;
     private long opened;
     private boolean asked;
     private DeadlineWheel.Entry<Runnable> headTimer;
@@ -72,7 +72,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-        if (closing || fault != null) {
+        if (!life.takes() || fault != null) {
             ReferenceCountUtil.release(message);
         } else if (message instanceof Head.Request head) {
             if (!dialect.wholeRequests()) {
@@ -89,8 +89,10 @@
             if (incoming != null) {
                 Exchange whole = incoming;
                 incoming = null;
-                // What comes after the last request is nobody's.
-                closing = !whole.head.keepAlive();
+                if (!whole.head.keepAlive()) {
+                    // What comes after the last request is nobody's.
+                    life.lastTaken();
+                }
                 whole.body.end(end.trailers());
                 if (dialect.wholeRequests()) {
                     timers.cancel(headTimer);
@@ -134,7 +136,7 @@
 
     /** Whether a part has come of what must be whole before it is taken up: the head, or all of it. */
     private boolean partial() {
-        return !decoder.idle() && (incoming == null || dialect.wholeRequests()) && fault == null && !closing;
+        return !decoder.idle() && (incoming == null || dialect.wholeRequests()) && fault == null && life.takes();
     }
 
     /** Hands the first request over, if it has not been. */
@@ -171,24 +173,45 @@
                 intake.bodyBroken(broken, Problem.client(fault.status(), fault.getMessage()));
             } else {
                 exchanges.remove(broken);
+                broken.body.release();
             }
             return;
         }
-        if (exchanges.isEmpty() && channel.isActive() && !lingering) {
-            write(Problem.client(fault.status(), fault.getMessage()), true);
-            linger();
+        if (exchanges.isEmpty() && channel.isActive() && !life.shut()) {
+            write(Problem.client(fault.status(), fault.getMessage()), life.announces(true, 0));
+            shutIfDone();
         }
     }
 
-    /** Reads on from the client, or stops. */
+    /** Reads on from the client, or stops; while it stops nobody hears of the client's leaving. */
     void updateRead() {
         boolean on = exchanges.size() <= limits.maxPipelined() && (incoming == null || incoming.body.hungry())
-            || lingering;
+            && (exchanges.size() <= 1 || heldBytes() <= limits.replayBody()) || life.shut();
         if (channel.config().isAutoRead() != on) {
             channel.config().setAutoRead(on);
         }
     }
 
+    private long heldBytes() {
+        return exchanges.stream().mapToLong(exchange -> exchange.body.size()).sum();
+    }
+
+    /** Requests taken and not answered in full. */
+    private int owed() {
+        return (int) exchanges.stream().filter(exchange -> exchange.begun || exchange.body.whole()).count();
+    }
+
+    /** Whether an answer is owed or on its way to a client that takes it slowly. */
+    boolean busy() {
+        ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
+        return owed() > 0 || out != null && out.totalPendingWriteBytes() > 0;
+    }
+
+    /** Whether the answer to the first in line has to say that it is the last. */
+    private boolean announces(boolean required) {
+        return life.announces(required, Math.max(0, owed() - 1));
+    }
+
     /** Tells the client to send the body it is waiting with. */
     void goOn(Exchange exchange) {
         if (exchange.head.expectsContinue() && !exchange.body.whole() && channel.isActive()) {
@@ -202,9 +225,7 @@
             throw new IllegalStateException("a second answer");
         }
         exchange.answered = true;
-        boolean cut = !exchange.body.whole();
-        closeAfter |= cut || !exchange.head.keepAlive();
-        write(problem, closeAfter);
+        write(problem, announces(!exchange.body.whole() || !exchange.head.keepAlive()));
         finished(exchange);
     }
 
@@ -237,7 +258,7 @@
     /** Begins to pass a server's answer on. */
     void begin(Exchange exchange, Head.Response head) {
         exchange.answered = true;
-        closeAfter |= !exchange.head.keepAlive() || !exchange.body.whole();
+        boolean endless = false;
         ByteBuf out = HttpWriter.response(channel.alloc(), head.status());
         head.fields().writeExcept(out, dialect.notForClients(), head.fields().nominated());
         Framing framing = head.framing();
@@ -247,7 +268,7 @@
         if (!bare) {
             if (framing.kind() == Framing.Kind.CHUNKED || framing.kind() == Framing.Kind.CLOSE) {
                 chunked = exchange.head.minor() >= 1;
-                closeAfter |= !chunked;
+                endless = !chunked;
                 framing = chunked ? Framing.CHUNKED : Framing.NONE;
                 if (chunked) {
                     HttpWriter.framing(out, framing, false);
@@ -256,7 +277,7 @@
                 HttpWriter.framing(out, framing, true);
             }
         }
-        if (closeAfter) {
+        if (announces(endless || !exchange.head.keepAlive() || !exchange.body.whole())) {
             HttpWriter.close(out);
         }
         channel.write(HttpWriter.end(out));
@@ -307,8 +328,7 @@
         if (incoming == exchange) {
             incoming = null;
         }
-        if (closeAfter) {
-            linger();
+        if (shutIfDone()) {
             return;
         }
         if (exchanges.isEmpty()) {
@@ -318,21 +338,30 @@
         updateRead();
     }
 
-    /** Ends the connection so that the client can still read its last answer. */
-    private void linger() {
-        if (lingering) {
-            return;
+    /** Shuts the output if the connection is to end and nothing is owed any more. */
+    private boolean shutIfDone() {
+        boolean now = life.shutsNow(owed());
+        if (now) {
+            shut();
         }
-        lingering = true;
-        closing = true;
+        return now;
+    }
+
+    /** Reads on until the client has closed too, or has had its time for that; what it sends is nobody's. */
+    private void shut() {
+        timers.cancel(headTimer);
+        timers.cancel(idleTimer);
+        exchanges.forEach(unanswered -> unanswered.body.release());
         exchanges.clear();
+        incoming = null;
+        intake.lingers(this);
+        updateRead();
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((ChannelFutureListener) written -> {
             if (channel instanceof DuplexChannel socket && socket.isActive()) {
                 socket.shutdownOutput();
             }
+            timers.after(limits.linger().toNanos(), channel::close);
         });
-        updateRead();
-        timers.after(limits.linger().toNanos(), () -> channel.close());
     }
 
     private void idle() {
@@ -340,7 +369,7 @@
         intake.idle(this, true);
         idleTimer = timers.after((asked ? limits.idleTimeout() : limits.firstTimeout()).toNanos(), () -> {
             if (exchanges.isEmpty()) {
-                channel.close();
+                end();
             }
         });
     }
@@ -373,7 +402,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        closing = true;
+        life.lastTaken();
         timers.cancel(headTimer);
         timers.cancel(idleTimer);
         timers.cancel(stallTimer);
@@ -384,14 +413,20 @@
         intake.closed(this);
     }
 
-    /** No further request is taken; the connection ends after the answers owed. */
-    void drain() {
-        closeAfter = true;
-        if (exchanges.isEmpty() && !lingering) {
-            channel.close();
+    /** The connection ends with its next answer; one that asked before and asks nothing now ends at once. */
+    void lastCall() {
+        life.end();
+        if (asked) {
+            shutIfDone();
         }
     }
 
+    /** The connection ends after the answers owed. */
+    void end() {
+        life.end();
+        shutIfDone();
+    }
+
     void close() {
         channel.close();
     }
--- a/edge/src/main/java/thistlefall/edge/host/EdgeNode.java
+++ b/edge/src/main/java/thistlefall/edge/host/EdgeNode.java
@@ -23,6 +23,7 @@
 import thistlefall.edge.settings.Defaults;
 import thistlefall.edge.settings.NodeSettings;
 import thistlefall.edge.upstream.Sockets;
+import thistlefall.lifecycle.NodeStop;
 
 /**
  * An edge node: listens, checks tokens, lets the decision module decide, talks to the app servers. Several may run in
@@ -30,6 +31,7 @@
  */
 public final class EdgeNode implements AutoCloseable {
     private static final Duration DRAIN = Duration.ofSeconds(5);
+    private static final long LOOK_MS = 5;
 
     /**
      * What is not an operator's to set.
@@ -57,6 +59,7 @@
     private final EventLoop loop;
     private final Front front;
     private final Channel listener;
+    private final Duration linger;
     private boolean stopped;
 
     private EdgeNode(Wiring wiring, Options options) throws IOException {
@@ -64,6 +67,7 @@
         group = new MultiThreadIoEventLoopGroup(1,
             new DefaultThreadFactory("thistlefall-" + wiring.name(), true), Sockets.io(wiring.listen()));
         loop = group.next();
+        linger = wiring.limits().linger();
         try {
             front = loop.submit(() -> new Front(wiring, options, loop, log)).syncUninterruptibly().getNow();
             listener = listen(wiring);
@@ -140,20 +144,23 @@
      * Stops: takes nothing new, waits for the answers owed as long as the span allows, then gives those still owed as
      * refused or failed, whichever is true, and closes.
      */
-    public synchronized void stop(Duration drain) {
+    public void stop(Duration drain) {
+        stop(new NodeStop.Spans(0, 0, 0, drain.toNanos(), linger.toNanos()));
+    }
+
+    /** Stops in the phases of {@link NodeStop}. */
+    public synchronized void stop(NodeStop.Spans spans) {
         if (stopped) {
             return;
         }
         stopped = true;
-        listener.close().awaitUninterruptibly(1_000);
         var done = new CompletableFuture<Void>();
-        long until = System.nanoTime() + drain.toNanos();
         loop.execute(() -> {
-            front.drain();
-            awaitIdle(until, done);
+            front.intake().lastCall();
+            go(new NodeStop(spans, System.nanoTime()), NodeStop.Phase.LAST_CALL, done);
         });
         try {
-            done.get(drain.toMillis() + 2_000, TimeUnit.MILLISECONDS);
+            done.get(spans.all() + 2_000_000_000L, TimeUnit.NANOSECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } catch (java.util.concurrent.ExecutionException | java.util.concurrent.TimeoutException e) {
@@ -162,6 +169,37 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(2_000);
     }
 
+    /** Looks which phase it is, does what a new one begins with, and looks again soon. */
+    private void go(NodeStop stop, NodeStop.Phase before, CompletableFuture<Void> done) {
+        Intake intake = front.intake();
+        NodeStop.Phase phase = stop.at(System.nanoTime(), intake.openedAt(), intake.busy(), intake.connections());
+        try {
+            if (phase != before) {
+                enter(phase);
+            }
+        } catch (RuntimeException e) {
+            done.completeExceptionally(e);
+            throw e;
+        }
+        if (phase == NodeStop.Phase.OVER) {
+            done.complete(null);
+        } else {
+            loop.schedule(() -> go(stop, phase, done), LOOK_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void enter(NodeStop.Phase phase) {
+        switch (phase) {
+            case LAST_CALL -> { }
+            case DRAIN -> {
+                listener.close();
+                front.intake().drain();
+            }
+            case LINGER -> front.settle();
+            case OVER -> front.kill();
+        }
+    }
+
     /** Ends the node as a crash would: nothing is answered or told any more. For rehearsals and tests. */
     public synchronized void kill() {
         if (stopped) {
@@ -184,18 +222,6 @@
         });
     }
 
-    private void awaitIdle(long until, CompletableFuture<Void> done) {
-        if (front.owed() > 0 && System.nanoTime() < until) {
-            loop.schedule(() -> awaitIdle(until, done), 5, TimeUnit.MILLISECONDS);
-            return;
-        }
-        try {
-            front.close();
-        } finally {
-            done.complete(null);
-        }
-    }
-
     @Override
     public void close() {
         stop(DRAIN);
--- a/edge/src/main/java/thistlefall/edge/host/Front.java
+++ b/edge/src/main/java/thistlefall/edge/host/Front.java
@@ -53,7 +53,8 @@
 
     private Gate gate(Wiring wiring, Ports.Settings module, EventLoop loop, long seed) {
         if (wiring.reader() != null) {
-            return new PlainGate(wiring.reader(), module, intake, carrier, answers, counts, list::usable);
+            return new PlainGate(wiring.reader(), module, intake, carrier, answers, counts,
+                () -> list.usable() && !intake.ending());
         }
         return new TokenGate(wiring.tokens(), module, intake, carrier, entitled -> new TokenCheck(wiring.tokens(), loop,
             seed, clock, counts, answers, carrier::log, entitled));
@@ -82,20 +83,9 @@
         answers.expire(mono, carrier::gone);
     }
 
-    /** How many answers are owed. */
-    int owed() {
-        return answers.owed();
-    }
-
-    /** No new request is taken from here on. */
-    void drain() {
-        intake.drain();
-    }
-
-    /** Answers what is still owed, then closes everything. */
-    void close() {
+    /** Answers all that is still owed. */
+    void settle() {
         answers.settleAll(Cause.STOPPING);
-        kill();
     }
 
     /** Closes everything as a crash would: no answer is given. */
--- a/edge/src/main/java/thistlefall/edge/host/Intake.java
+++ b/edge/src/main/java/thistlefall/edge/host/Intake.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Stream;
 import thistlefall.Ports.RequestClass;
 import thistlefall.clock.SharedTimeline;
 import thistlefall.ledger.Cause;
@@ -13,6 +14,9 @@
     /** The module and the desk are told a deadline so much before the client's, so that the answer is written in time. */
     static final long GUARD = 30_000_000L;
 
+    private static final int LEAST_LINGERING = 4;
+    private static final int LINGERING_PART = 12;
+
     private final int maxConnections;
     private final NodeClock clock;
     private final NodeCounts counts;
@@ -20,8 +24,12 @@
     private final Set<ClientConnection> clients = new HashSet<>();
     /** Those without a request, the one that has been so longest first. */
     private final Set<ClientConnection> idle = new LinkedHashSet<>();
+    /** Those whose output is shut and that may still be sent to; the eldest first. They have no place among the others. */
+    private final Set<ClientConnection> lingering = new LinkedHashSet<>();
     private Gate gate;
     private Carrier carrier;
+    private long openedAt = System.nanoTime();
+    private boolean lastCall;
     private boolean draining;
 
     Intake(int maxConnections, NodeClock clock, NodeCounts counts, Answers answers) {
@@ -38,22 +46,53 @@
     }
 
     boolean opened(ClientConnection client) {
+        openedAt = System.nanoTime();
         if (clients.size() >= maxConnections && !idle.isEmpty()) {
             // Whoever has asked nothing for longest makes room for somebody who may.
             counts.idleClosed++;
-            ClientConnection eldest = idle.iterator().next();
-            // At once: its own word that it has closed comes later, and the place is wanted now.
-            closed(eldest);
-            eldest.close();
+            idle.iterator().next().end();
         }
         if (draining || clients.size() >= maxConnections) {
             counts.connectionsTurnedAway++;
             return false;
         }
         clients.add(client);
+        if (lastCall) {
+            client.lastCall();
+        }
         return true;
     }
 
+    /** When the last connection came. */
+    long openedAt() {
+        return openedAt;
+    }
+
+    /** Connections that have not been closed yet. */
+    int connections() {
+        return clients.size() + lingering.size();
+    }
+
+    /** Connections on which an answer is owed or not all written. */
+    int busy() {
+        return (int) Stream.concat(clients.stream(), lingering.stream()).filter(ClientConnection::busy).count();
+    }
+
+    /** Whether the node has been told to end. */
+    boolean ending() {
+        return lastCall || draining;
+    }
+
+    /** A connection's output is shut. Whoever sends all the same must not hold many places. */
+    void lingers(ClientConnection client) {
+        clients.remove(client);
+        idle.remove(client);
+        lingering.add(client);
+        if (lingering.size() > Math.max(LEAST_LINGERING, maxConnections / LINGERING_PART) && !draining) {
+            lingering.iterator().next().close();
+        }
+    }
+
     /** A connection has no request now, or has one again. */
     void idle(ClientConnection client, boolean is) {
         idle.remove(client);
@@ -65,6 +104,7 @@
     void closed(ClientConnection client) {
         clients.remove(client);
         idle.remove(client);
+        lingering.remove(client);
     }
 
     /** A request is at the head of its connection's line. */
@@ -132,14 +172,21 @@
         carrier.gone(exchange);
     }
 
+    /** The node will end: connections end with their next answer, those that come from now on too. */
+    void lastCall() {
+        lastCall = true;
+        List.copyOf(clients).forEach(ClientConnection::lastCall);
+    }
+
     /** No new request is taken from here on. */
     void drain() {
         draining = true;
-        List.copyOf(clients).forEach(ClientConnection::drain);
+        List.copyOf(clients).forEach(ClientConnection::end);
     }
 
     void close() {
         draining = true;
         List.copyOf(clients).forEach(ClientConnection::close);
+        List.copyOf(lingering).forEach(ClientConnection::close);
     }
 }
--- a/standin/src/test/java/thistlefall/standin/EdgeNodeTest.java
+++ b/standin/src/test/java/thistlefall/standin/EdgeNodeTest.java
@@ -260,6 +260,8 @@
     void beyondTheNodesRoomTheIdleMakeRoomAndThenNewOnesAreTurnedAway() throws IOException {
         try (var server = new RawServer((s, socket) -> s.request(socket)); var node = new NodeUnderTest(server.port())) {
             Socket idle = node.connect();
+            // Each request waits for a word on its token, so none of their connections is idle or ending.
+            node.introspection.mode(Mode.SILENT, 0);
             NodeUnderTest.until(() -> {
                 ask(node);
                 return node.node.counts().get("connections_turned_away") > 0;
@@ -273,7 +275,7 @@
     private static void ask(NodeUnderTest node) {
         try {
             for (int i = 0; i < 20; i++) {
-                RawServer.write(node.connect(), "GET /safe HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer good\r\n\r\n");
+                RawServer.write(node.connect(), "GET /safe HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer new\r\n\r\n");
             }
         } catch (IOException e) {
             // Turned away while it still wrote.
