Connections to servers: late ones are kept, shared places, a rest after answers, no length

Ruled out: an unsafe request on a kept connection as a special risk (docs/platform.md has the counts).

--- a/edge/src/main/java/thistlefall/edge/host/Attempt.java
+++ b/edge/src/main/java/thistlefall/edge/host/Attempt.java
@@ -72,7 +72,8 @@
     @Override
     public void ready(ServerConnection ready) {
         if (over) {
-            ready.abandon();
+            // Whoever asked for it has moved on; the next one may have it.
+            ready.unused();
             return;
         }
         connection = ready;
@@ -166,16 +167,11 @@
             return;
         }
         Framing framing = came.framing();
-        if (carrier.dialect().wholeRequests() && framing.kind() == Framing.Kind.CLOSE) {
-            // Nothing tells a whole one from one that broke off.
-            end(End.GARBLED);
-            return;
-        }
         holding = switch (framing.kind()) {
             case NONE -> true;
             case LENGTH -> hold(framing.length());
-            case CHUNKED -> carrier.dialect().wholeRequests();
-            case CLOSE -> false;
+            // Its end is told by the connection's: until then nobody knows whether it is whole.
+            case CHUNKED, CLOSE -> carrier.dialect().wholeRequests();
         };
         if (!holding) {
             pass();
@@ -206,7 +202,7 @@
 
     @Override
     public void body(ByteBuf piece) {
-        if (holding && head.framing().kind() == Framing.Kind.CHUNKED && !hold(piece.readableBytes())) {
+        if (holding && head.framing().kind() != Framing.Kind.LENGTH && !hold(piece.readableBytes())) {
             // Longer than can be held: from here on it is passed on as it comes.
             holding = false;
             pass();
--- a/edge/src/main/java/thistlefall/edge/host/BearerDialect.java
+++ b/edge/src/main/java/thistlefall/edge/host/BearerDialect.java
@@ -29,6 +29,11 @@
         return Long.MAX_VALUE;
     }
 
+    @Override
+    public long bodiesInAll() {
+        return Long.MAX_VALUE;
+    }
+
     @Override
     public void requestFields(ByteBuf out, Head.Request request, int attempt, String customer, String node,
                               long patience) {
--- a/edge/src/main/java/thistlefall/edge/host/Carrier.java
+++ b/edge/src/main/java/thistlefall/edge/host/Carrier.java
@@ -32,7 +32,7 @@
     private final ModuleHost module;
     private final Map<Exchange, Request> afterStall = new HashMap<>();
     private final Dialect dialect;
-    private final HeldAnswers held;
+    private final HeldBytes held;
     private Gate gate;
     private CounterSide counter;
     private Intake intake;
@@ -50,7 +50,7 @@
         this.settings = settings;
         this.upstreams = upstreams;
         this.dialect = dialect;
-        held = new HeldAnswers(dialect.heldWhole(), dialect.heldInAll());
+        held = new HeldBytes(dialect.heldWhole(), dialect.heldInAll());
         module = new ModuleHost(log, this::crashed);
     }
 
@@ -77,7 +77,7 @@
         return timers;
     }
 
-    HeldAnswers held() {
+    HeldBytes held() {
         return held;
     }
 
--- a/edge/src/main/java/thistlefall/edge/host/ClientConnection.java
+++ b/edge/src/main/java/thistlefall/edge/host/ClientConnection.java
@@ -80,11 +80,15 @@
             }
             timers.cancel(idleTimer);
             intake.idle(this, false);
-            incoming = new Exchange(this, head, timers.earliestArrival(), limits.replayBody());
+            incoming = new Exchange(this, head, timers.earliestArrival(), limits.replayBody(), intake.bodies());
             exchanges.add(incoming);
             next();
         } else if (message instanceof ByteBuf piece) {
-            incoming.body.add(piece);
+            if (!incoming.body.add(piece)) {
+                // Never sent on, it may come again; its end won't be looked for.
+                fault = new Malformed(503, "too many long bodies at once");
+                malformed();
+            }
         } else if (message instanceof BodyEnd end) {
             if (incoming != null) {
                 Exchange whole = incoming;
--- a/edge/src/main/java/thistlefall/edge/host/Dialect.java
+++ b/edge/src/main/java/thistlefall/edge/host/Dialect.java
@@ -24,6 +24,9 @@
     /** Bytes of answers held at once, at most; what comes beyond is passed on as it comes. */
     long heldInAll();
 
+    /** Bytes of requests' bodies held at once, at most, small ones aside; what comes beyond is refused. */
+    long bodiesInAll();
+
     /**
      * Writes the fields of an attempt, all but its framing.
      *
--- a/edge/src/main/java/thistlefall/edge/host/Exchange.java
+++ b/edge/src/main/java/thistlefall/edge/host/Exchange.java
@@ -27,10 +27,10 @@
     /** Whether the head of its answer has been written. */
     boolean answered;
 
-    Exchange(ClientConnection client, Head.Request head, long arrived, int replayLimit) {
+    Exchange(ClientConnection client, Head.Request head, long arrived, int replayLimit, HeldBytes room) {
         this.client = client;
         this.head = head;
         this.arrived = arrived;
-        body = new RequestBody(replayLimit);
+        body = new RequestBody(replayLimit, room);
     }
 }
--- a/edge/src/main/java/thistlefall/edge/host/Front.java
+++ b/edge/src/main/java/thistlefall/edge/host/Front.java
@@ -39,7 +39,7 @@
         upstreams = new Upstreams(loop, wiring.pools(), Defaults.answers(limits), wiring.probePath(), dialect,
             module.reports(), this::probed);
         carrier = new Carrier(name, loop, log, clock, timers, counts, answers, module, upstreams, dialect);
-        intake = new Intake(limits.maxConnections(), clock, counts, answers);
+        intake = new Intake(limits.maxConnections(), new HeldBytes(limits.maxBody(), dialect.bodiesInAll()), clock, counts, answers);
         list = new ListSide(wiring, loop, random.nextLong(), counts, upstreams, carrier::list, log);
         gate = gate(wiring, module, loop, random.nextLong());
         counter = new CounterSide(loop, wiring.parts().counter(loop, random.nextLong()), counts, carrier::counted);
--- a/edge/src/main/java/thistlefall/edge/host/HeldAnswers.java
+++ b/edge/src/main/java/thistlefall/edge/host/HeldBytes.java
@@ -1,17 +1,17 @@
 package thistlefall.edge.host;
 
-/** How many bytes of answers may be held back until they are whole, each and all together; the rest is passed on as it comes. */
-final class HeldAnswers {
+/** How many bytes of messages may be held until they are whole, of each and of all together. */
+final class HeldBytes {
     private final long each;
     private final long all;
     private long held;
 
-    HeldAnswers(long each, long all) {
+    HeldBytes(long each, long all) {
         this.each = each;
         this.all = all;
     }
 
-    /** Takes room for more of an answer that holds some; false if there is none. */
+    /** Takes room for more of a message that holds some; false if there is none. */
     boolean take(long before, long more) {
         if (before + more > each || held + more > all) {
             return false;
--- a/edge/src/main/java/thistlefall/edge/host/Intake.java
+++ b/edge/src/main/java/thistlefall/edge/host/Intake.java
@@ -18,6 +18,7 @@
     private static final int LINGERING_PART = 12;
 
     private final int maxConnections;
+    private final HeldBytes bodies;
     private final NodeClock clock;
     private final NodeCounts counts;
     private final Answers answers;
@@ -32,8 +33,9 @@
     private boolean lastCall;
     private boolean draining;
 
-    Intake(int maxConnections, NodeClock clock, NodeCounts counts, Answers answers) {
+    Intake(int maxConnections, HeldBytes bodies, NodeClock clock, NodeCounts counts, Answers answers) {
         this.maxConnections = maxConnections;
+        this.bodies = bodies;
         this.clock = clock;
         this.counts = counts;
         this.answers = answers;
@@ -63,6 +65,11 @@
         return true;
     }
 
+    /** The room for requests' bodies. */
+    HeldBytes bodies() {
+        return bodies;
+    }
+
     /** When the last connection came. */
     long openedAt() {
         return openedAt;
--- a/edge/src/main/java/thistlefall/edge/host/RequestBody.java
+++ b/edge/src/main/java/thistlefall/edge/host/RequestBody.java
@@ -22,16 +22,23 @@
         boolean writable();
     }
 
+    /** A body of no more than this counts towards no bound: many large ones must not cost the small their place. */
+    private static final int SMALL = 4 * 1024;
+
     private final int limit;
+    private final HeldBytes room;
     private final List<ByteBuf> held = new ArrayList<>(2);
     private int heldBytes;
+    private long counted;
     private boolean lost;
     private boolean released;
     private Fields trailers;
     private Sink sink;
 
-    RequestBody(int limit) {
+    /** A body of which up to {@code limit} bytes are held, as far as there is room among others. */
+    RequestBody(int limit, HeldBytes room) {
         this.limit = limit;
+        this.room = room;
     }
 
     boolean whole() {
@@ -60,10 +67,19 @@
         return sink != null ? sink.writable() : heldBytes < limit;
     }
 
-    void add(ByteBuf piece) {
+    /** Takes a piece over; false if there is no room to hold it, and it can't be passed on. */
+    boolean add(ByteBuf piece) {
         if (released) {
             piece.release();
-            return;
+            return true;
+        }
+        if (!lost && !count(piece.readableBytes())) {
+            if (sink == null) {
+                piece.release();
+                return false;
+            }
+            lost = true;
+            drop();
         }
         if (!lost) {
             held.add(piece.retainedDuplicate());
@@ -75,6 +91,17 @@
         } else {
             piece.release();
         }
+        return true;
+    }
+
+    private boolean count(int more) {
+        if (heldBytes + more <= SMALL) {
+            return true;
+        }
+        long uncounted = heldBytes + more - counted;
+        boolean may = room.take(counted, uncounted);
+        counted += may ? uncounted : 0;
+        return may;
     }
 
     void end(Fields with) {
@@ -111,6 +138,8 @@
         held.forEach(ByteBuf::release);
         held.clear();
         heldBytes = 0;
+        room.give(counted);
+        counted = 0;
     }
 
     void release() {
--- a/edge/src/main/java/thistlefall/edge/host/SettingsWiring.java
+++ b/edge/src/main/java/thistlefall/edge/host/SettingsWiring.java
@@ -19,6 +19,7 @@
 /** The wiring of a node that its own settings describe: bearer tokens, a counter by RESP, a list by file or Consul. */
 final class SettingsWiring implements Wiring.Parts {
     private static final long HOLD = 3_000_000_000L;
+    private static final int CONNECTIONS_IN_ALL = 10_000;
 
     private final NodeSettings settings;
 
@@ -28,8 +29,9 @@
 
     static Wiring of(NodeSettings settings) {
         var s = settings.servers();
-        var pools = new ServerPool.Limits(s.maxConnections() == null ? 100 : s.maxConnections(),
-            Defaults.connectTimeout(settings), Defaults.nanos(s.idleTimeout(), 15_000_000_000L),
+        long connect = Defaults.connectTimeout(settings);
+        var pools = new ServerPool.Limits(s.maxConnections() == null ? 100 : s.maxConnections(), CONNECTIONS_IN_ALL,
+            connect, connect, 0, Defaults.nanos(s.idleTimeout(), 15_000_000_000L),
             settings.node().sourceAddress());
         return new Wiring(settings.node().name(), new InetSocketAddress(settings.listen().host(), settings.listen().port()),
             Defaults.module(settings), Defaults.limits(settings), pools, s.probePath() == null ? "/health" : s.probePath(),
--- a/edge/src/main/java/thistlefall/edge/host/Upstreams.java
+++ b/edge/src/main/java/thistlefall/edge/host/Upstreams.java
@@ -13,6 +13,7 @@
 import thistlefall.edge.http.HttpLimits;
 import thistlefall.edge.list.Listed;
 import thistlefall.edge.upstream.Call;
+import thistlefall.edge.upstream.ConnectionPlaces;
 import thistlefall.edge.upstream.ServerPool;
 import thistlefall.edge.upstream.Sockets;
 
@@ -33,6 +34,7 @@
     private final Dialect dialect;
     private final List<String> reports;
     private final Probed probed;
+    private final ConnectionPlaces places;
     private final Map<String, SocketAddress> addresses = new HashMap<>();
     private final Map<String, ServerPool> pools = new HashMap<>();
     /** Servers with a probe out, and how many were asked for meanwhile: one answer serves all. */
@@ -42,6 +44,7 @@
               List<String> reports, Probed probed) {
         this.loop = loop;
         this.limits = limits;
+        places = new ConnectionPlaces(limits.inAll());
         this.http = http;
         this.probePath = probePath;
         this.dialect = dialect;
@@ -81,7 +84,7 @@
         if (pool != null) {
             pool.drain();
         }
-        pool = new ServerPool(loop, address, limits, http);
+        pool = new ServerPool(loop, address, limits, http, places);
         pools.put(id, pool);
         return pool;
     }
--- a/edge/src/main/java/thistlefall/edge/upstream/Call.java
+++ b/edge/src/main/java/thistlefall/edge/upstream/Call.java
@@ -84,7 +84,7 @@
     @Override
     public void ready(ServerConnection ready) {
         if (over) {
-            ready.abandon();
+            ready.unused();
             return;
         }
         connection = ready;
--- a/edge/src/main/java/thistlefall/edge/upstream/ServerConnection.java
+++ b/edge/src/main/java/thistlefall/edge/upstream/ServerConnection.java
@@ -66,6 +66,12 @@
         channel.config().setAutoRead(on);
     }
 
+    /** Gives it back with nothing written to it. */
+    public void unused() {
+        user = null;
+        pool.release(this);
+    }
+
     /** Gives the exchange up; its user hears nothing more. The connection can't serve another. */
     public void abandon() {
         user = null;
--- a/edge/src/main/java/thistlefall/edge/upstream/ServerPool.java
+++ b/edge/src/main/java/thistlefall/edge/upstream/ServerPool.java
@@ -1,13 +1,17 @@
 package thistlefall.edge.upstream;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import thistlefall.attempt.End;
@@ -15,8 +19,8 @@
 import thistlefall.edge.http.ResponseDecoder;
 
 /**
- * The connections to one server, on one event loop. The one used last is taken first, so that a quiet spell lets the
- * others go idle and close.
+ * The connections to one server, on one event loop. Of those that have rested the one used last is taken first, so that a
+ * quiet spell lets the others go idle and close. One that comes up after its taker has given up is kept for the next.
  */
 public final class ServerPool {
     /** What comes of asking for a connection; exactly one is called, perhaps at once. */
@@ -32,29 +36,45 @@
      * The figures of a pool.
      *
      * @param maxConnections most connections, those being made included
-     * @param connectTimeout nanoseconds
-     * @param idleTimeout nanoseconds
+     * @param inAll most connections of all pools that share their places
+     * @param connectTimeout a taker waits so long for a new connection, nanoseconds
+     * @param lateTimeout a connection that takes longer than that is still made, for the next taker, up to so long
+     * @param rest so long after an answer nothing is sent: what belongs to no request shows up by then
+     * @param idleTimeout an unused connection is closed after so long, nanoseconds
      * @param source the address to connect from; null for any
      */
-    public record Limits(int maxConnections, long connectTimeout, long idleTimeout, String source) {
+    public record Limits(int maxConnections, int inAll, long connectTimeout, long lateTimeout, long rest,
+                         long idleTimeout, String source) {
+        /** Figures of a pool that shares its places with no other, keeps nothing that comes late and needs no rest. */
+        public Limits(int maxConnections, long connectTimeout, long idleTimeout, String source) {
+            this(maxConnections, maxConnections, connectTimeout, connectTimeout, 0, idleTimeout, source);
+        }
     }
 
     private final EventLoop loop;
     private final SocketAddress address;
     private final Limits limits;
     private final HttpLimits http;
+    private final ConnectionPlaces places;
+    /** The one idle longest first. */
     private final ArrayDeque<ServerConnection> idle = new ArrayDeque<>();
     private final Set<ServerConnection> open = new HashSet<>();
     private int connecting;
     private boolean draining;
     private boolean sweeping;
 
-    /** An empty pool. */
+    /** An empty pool with places of its own. */
     public ServerPool(EventLoop loop, SocketAddress address, Limits limits, HttpLimits http) {
+        this(loop, address, limits, http, new ConnectionPlaces(limits.inAll()));
+    }
+
+    /** An empty pool that shares places with others. */
+    public ServerPool(EventLoop loop, SocketAddress address, Limits limits, HttpLimits http, ConnectionPlaces places) {
         this.loop = loop;
         this.address = address;
         this.limits = limits;
         this.http = http;
+        this.places = places;
     }
 
     /** Where it connects. */
@@ -67,57 +87,112 @@
         return open.size() + connecting;
     }
 
+    /** Connections open that carry no exchange. */
+    int idle() {
+        return idle.size();
+    }
+
     /** Takes a connection for one exchange. */
     public void take(Exchanger user, boolean headMethod, Taker taker) {
-        for (ServerConnection kept = idle.pollLast(); kept != null; kept = idle.pollLast()) {
-            if (kept.fit()) {
-                kept.use(user, headMethod);
-                taker.ready(kept);
-                return;
-            }
+        ServerConnection kept = rested();
+        if (kept == null && !draining && connections() < limits.maxConnections() && places.take()) {
+            connect(user, headMethod, taker);
+            return;
         }
-        if (connections() >= limits.maxConnections() || draining) {
+        // None can be made: then the one that has rested longest must do.
+        kept = kept == null ? idle.peekFirst() : kept;
+        if (kept == null) {
             taker.none(End.NO_PLACE);
             return;
         }
-        connect(user, headMethod, taker);
+        idle.remove(kept);
+        places.idle(kept, false);
+        kept.use(user, headMethod);
+        taker.ready(kept);
+    }
+
+    /** The one used last of those that are open and have rested; null if there is none. */
+    private ServerConnection rested() {
+        long now = System.nanoTime();
+        for (Iterator<ServerConnection> newest = idle.descendingIterator(); newest.hasNext();) {
+            ServerConnection each = newest.next();
+            if (!each.fit()) {
+                newest.remove();
+            } else if (now - each.idleSince >= limits.rest()) {
+                return each;
+            }
+        }
+        return null;
     }
 
     private void connect(Exchanger user, boolean headMethod, Taker taker) {
         connecting++;
         var decoder = new ResponseDecoder(http);
-        var bootstrap = Sockets.client(loop, address, limits.connectTimeout() / 1_000_000)
-            .handler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    channel.pipeline().addLast(decoder);
-                }
-            });
+        long most = Math.max(limits.connectTimeout(), limits.lateTimeout());
+        var bootstrap = Sockets.client(loop, address, most / 1_000_000).handler(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(decoder);
+            }
+        });
         InetSocketAddress source = limits.source() == null ? null : new InetSocketAddress(limits.source(), 0);
-        bootstrap.connect(address, source).addListener((io.netty.channel.ChannelFuture made) -> {
+        bootstrap.connect(address, source).addListener(new Making(user, headMethod, taker, decoder));
+    }
+
+    /** A connection being made, and who waits for it. */
+    private final class Making implements ChannelFutureListener {
+        private final Exchanger user;
+        private final boolean headMethod;
+        private final ResponseDecoder decoder;
+        private final Future<?> overdue;
+        private Taker taker;
+
+        Making(Exchanger user, boolean headMethod, Taker taker, ResponseDecoder decoder) {
+            this.user = user;
+            this.headMethod = headMethod;
+            this.taker = taker;
+            this.decoder = decoder;
+            overdue = limits.lateTimeout() > limits.connectTimeout()
+                ? loop.schedule(() -> none(End.CONNECT_OVERDUE), limits.connectTimeout(), TimeUnit.NANOSECONDS) : null;
+        }
+
+        private void none(End why) {
+            if (taker != null) {
+                Taker waited = taker;
+                taker = null;
+                waited.none(why);
+            }
+        }
+
+        @Override
+        public void operationComplete(ChannelFuture made) {
             connecting--;
+            if (overdue != null) {
+                overdue.cancel(false);
+            }
             if (!made.isSuccess()) {
-                taker.none(made.cause() instanceof ConnectTimeoutException ? End.CONNECT_OVERDUE : End.REFUSED);
+                places.give(null);
+                none(made.cause() instanceof ConnectTimeoutException ? End.CONNECT_OVERDUE : End.REFUSED);
                 return;
             }
             Channel channel = made.channel();
-            var connection = new ServerConnection(this, channel, decoder);
+            var connection = new ServerConnection(ServerPool.this, channel, decoder);
             open.add(connection);
             channel.pipeline().addLast(connection);
             if (!channel.isActive()) {
-                open.remove(connection);
-                taker.none(End.REFUSED);
-                return;
-            }
-            if (draining) {
+                closed(connection);
+                none(End.REFUSED);
+            } else if (draining) {
                 // The word that it drains came while the connection was made.
                 channel.close();
-                taker.none(End.NO_PLACE);
-                return;
+                none(End.NO_PLACE);
+            } else if (taker == null) {
+                release(connection);
+            } else {
+                connection.use(user, headMethod);
+                taker.ready(connection);
             }
-            connection.use(user, headMethod);
-            taker.ready(connection);
-        });
+        }
     }
 
     void release(ServerConnection connection) {
@@ -127,6 +202,7 @@
         }
         connection.idleSince = System.nanoTime();
         idle.addLast(connection);
+        places.idle(connection, true);
         sweepLater(limits.idleTimeout());
     }
 
@@ -153,8 +229,11 @@
         }
     }
 
+    /** Its end may be told more than once. */
     void closed(ServerConnection connection) {
-        open.remove(connection);
+        if (open.remove(connection)) {
+            places.give(connection);
+        }
         idle.remove(connection);
     }
 
