Review case 3: attempts for a client that sent much at once and has gone

Cause: with more than 32 requests pending the node stops reading, does not see that the client has closed, and after a failed write sends the next request all the same. Records of cases 1 and 2 say what app servers run; ports are looked for on the loopback address only.

--- a/review/src/BadClients.java
+++ b/review/src/BadClients.java
@@ -44,6 +44,7 @@
 
         @Override
         void handle(Socket socket, Http.Message request, OutputStream out) throws IOException {
+            record.line("%s runs %s %s", id, request.target(), request.field("x-trace-id"));
             sleep(80);
             out.write(answer(request));
         }
@@ -109,8 +110,9 @@
                     Standin.closeQuietly(socket);
                 });
                 for (int i = 0; i < REQUESTS_EACH && badClientsStay; i++) {
-                    socket.getOutputStream()
-                            .write(Client.request("fee-payment", Client.newId(), 1000 + number, 5.0, body));
+                    String id = Client.newId();
+                    record.line("bad client %d sends %s", number, id);
+                    socket.getOutputStream().write(Client.request("fee-payment", id, 1000 + number, 5.0, body));
                 }
                 while (badClientsStay && !socket.isClosed()) {
                     Standin.sleep(50);
--- a/review/src/Http.java
+++ b/review/src/Http.java
@@ -65,6 +65,10 @@
         return new BufferedInputStream(in, 16 * 1024);
     }
 
+    static String text(byte[] bytes) {
+        return new String(bytes, StandardCharsets.ISO_8859_1);
+    }
+
     static byte[] bytes(String text) {
         return text.getBytes(StandardCharsets.ISO_8859_1);
     }
--- a/review/src/Node.java
+++ b/review/src/Node.java
@@ -1,5 +1,6 @@
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -27,7 +28,7 @@
         this.record = record;
         config = folder.resolve("config.json");
         log = folder.resolve("node.log");
-        try (ServerSocket free = new ServerSocket(0)) {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             port = free.getLocalPort();
         }
         // One shell for all signals: its built-in kill takes effect at once, a new process would take milliseconds.
--- a/review/src/SecondAnswer.java
+++ b/review/src/SecondAnswer.java
@@ -38,8 +38,9 @@
 
         @Override
         void handle(Socket socket, Http.Message request, OutputStream out) throws IOException {
-            sleep(5 + random.nextInt(10));
             String requestId = request.field("x-trace-id");
+            record.line("%s runs %s %s", id, request.target(), requestId);
+            sleep(5 + random.nextInt(10));
             byte[] answer = answer(request);
             out.write(answer);
             record.line("%s answered %s", id, requestId);
