Idle server connections are checked for unread bytes before reuse

Cause: after a response a connection rests for 20 ms, so that a late second response is read and closes it. The pool compared times only. After a stall of the process the 20 ms are over while the second response still lies unread in the socket, and the connection carries the next request.

Change: at reuse the pool reads the socket itself, after the time check. Unread bytes or an end of the stream close the connection. So the rest covers what a server sends within it, whether or not the event loop has run.

--- a/edge/src/main/java/thistlefall/edge/upstream/ServerConnection.java
+++ b/edge/src/main/java/thistlefall/edge/upstream/ServerConnection.java
@@ -34,9 +34,13 @@
         this.decoder = decoder;
     }
 
-    /** Whether the connection is open and has no exchange. Unrequested bytes or an end of the stream close it. */
+    /**
+     * Whether the connection is open, has no exchange, and nothing has arrived on it since its last response. This asks
+     * the socket: the event loop may have been stalled since that response, and would not have read it. A connection
+     * that is not usable must be closed.
+     */
     boolean isUsable() {
-        return channel.isActive() && handler == null;
+        return channel.isActive() && handler == null && !UpstreamSocketChannel.consumesUnreadInput(channel);
     }
 
     /** The channel to write the request to. */
--- a/edge/src/main/java/thistlefall/edge/upstream/ServerConnectionPool.java
+++ b/edge/src/main/java/thistlefall/edge/upstream/ServerConnectionPool.java
@@ -128,20 +128,33 @@
         callback.acquired(connection);
     }
 
-    /** The most recently used open connection that has been idle for the minimum time; null if there is none. */
+    /**
+     * The most recently used connection that has been idle for the minimum time and on which nothing has arrived; null
+     * if there is none. The time is checked before the socket, so that what a server sends within the minimum idle time
+     * is found in the socket even if the event loop has not run since the response.
+     */
     private ServerConnection findReusableConnection() {
         long now = System.nanoTime();
         for (Iterator<ServerConnection> newestFirst = idleConnections.descendingIterator(); newestFirst.hasNext(); ) {
             ServerConnection connection = newestFirst.next();
-            if (!connection.isUsable()) {
-                newestFirst.remove();
-            } else if (now - connection.idleSinceNanos >= limits.minIdleTime()) {
+            if (now - connection.idleSinceNanos < limits.minIdleTime()) {
+                continue;
+            }
+            if (connection.isUsable()) {
                 return connection;
             }
+            newestFirst.remove();
+            discard(connection);
         }
         return null;
     }
 
+    /** Closes an idle connection, which from now on counts towards no limit. */
+    private void discard(ServerConnection connection) {
+        connection.channel().close();
+        connectionClosed(connection);
+    }
+
     private void connect(ResponseHandler handler, boolean headRequest, AcquireCallback callback) {
         connectsInProgress++;
         var decoder = new ResponseDecoder(httpLimits);
--- a/edge/src/main/java/thistlefall/edge/upstream/Transports.java
+++ b/edge/src/main/java/thistlefall/edge/upstream/Transports.java
@@ -10,7 +10,6 @@
 import io.netty.channel.local.LocalServerChannel;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 
@@ -31,7 +30,7 @@
     public static Bootstrap bootstrap(EventLoop loop, SocketAddress remoteAddress, long connectTimeoutMillis) {
         var bootstrap = new Bootstrap()
                 .group(loop)
-                .channel(isTcp(remoteAddress) ? NioSocketChannel.class : LocalChannel.class)
+                .channel(isTcp(remoteAddress) ? UpstreamSocketChannel.class : LocalChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutMillis));
         return isTcp(remoteAddress) ? bootstrap.option(ChannelOption.TCP_NODELAY, true) : bootstrap;
     }
