The first bytes of an unrequested response close an idle server connection

Cause: ServerConnection noticed bytes on an idle connection only as decoded messages. A piece that ends within the head is no message: the decoder kept it, and the rest became the response of the next exchange.

Change: after each read of an idle connection the decoder must be idle too, or the connection is closed.

Test: SurplusBytesTest.beginningOfAnUnrequestedResponseClosesTheConnection; before the change it failed after its 20 s ("the connection is closed at the first piece"), passes with it.

--- a/edge/src/main/java/thistlefall/edge/upstream/ServerConnection.java
+++ b/edge/src/main/java/thistlefall/edge/upstream/ServerConnection.java
@@ -125,7 +125,10 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
         readInProgress = false;
-        if (handler != null && responseComplete) {
+        if (handler == null && !decoder.isIdle()) {
+            // The first bytes of a message that no request asked for: the rest would be taken for the next response.
+            channel.close();
+        } else if (handler != null && responseComplete) {
             completeExchange();
         }
     }
--- a/edge/src/test/java/thistlefall/edge/upstream/SurplusBytesTest.java
+++ b/edge/src/test/java/thistlefall/edge/upstream/SurplusBytesTest.java
@@ -195,4 +195,19 @@
             assertTrue(isClosedByPeer(socket), "the connection with the unread bytes is closed");
         }
     }
+
+    /**
+     * Guards against a second response in pieces: the first piece ends within its head, so that the decoder has nothing
+     * to report yet, and the rest would become the response to the next request.
+     */
+    @Test
+    void beginningOfAnUnrequestedResponseClosesTheConnection() throws Exception {
+        ServerConnectionPool pool = createPool(4, MIN_IDLE_NANOS);
+        Exchange first = begin(pool);
+        try (Socket socket = completeFirstExchange(first)) {
+            write(socket, "HTTP/1.1 2");
+            assertTrue(isClosedByPeer(socket), "the connection is closed at the first piece");
+            serveOnNewConnection(begin(pool), first);
+        }
+    }
 }
