At its limit a pool replaces a connection that has not rested instead of reusing it

Callers could see: another request's response, where a server sends a second response some milliseconds late and the node has as many connections to it as allowed.

Cause: with no new connection allowed, acquire took the connection idle for longest although the minimum idle time had not passed. A test demanded that, as the request would otherwise fail for want of a connection.

Change: that connection is closed and a new one made in its place. The limit holds, and the request still gets a connection.

Test: recentlyUsedConnectionIsReusedOnlyWhenNoNewOneIsAllowed asserted the fault. recentlyUsedConnectionMakesRoomForANewOneAtTheLimit takes its place: same steps, and asks in addition that the connection in use stays open, that the count stays at the limit and that acquiring still fails once all are in use. It failed before the change, passes with it.

--- a/edge/src/main/java/thistlefall/edge/upstream/ServerConnectionPool.java
+++ b/edge/src/main/java/thistlefall/edge/upstream/ServerConnectionPool.java
@@ -112,20 +112,32 @@
     /** Acquires a connection for one exchange. */
     public void acquire(ResponseHandler handler, boolean headRequest, AcquireCallback callback) {
         ServerConnection connection = findReusableConnection();
-        if (connection == null && !draining && connectionCount() < limits.maxConnections() && limiter.tryAcquire()) {
+        if (connection != null) {
+            idleConnections.remove(connection);
+            limiter.setIdle(connection, false);
+            connection.beginExchange(handler, headRequest);
+            callback.acquired(connection);
+        } else if (!draining && makeRoom() && limiter.tryAcquire()) {
             connect(handler, headRequest, callback);
-            return;
-        }
-        // No new connection is allowed: use the one that has been idle longest, although for less than minIdleTime.
-        connection = connection == null ? idleConnections.peekFirst() : connection;
-        if (connection == null) {
+        } else {
             callback.unavailable(EndReason.NO_PLACE);
-            return;
         }
-        idleConnections.remove(connection);
-        limiter.setIdle(connection, false);
-        connection.beginExchange(handler, headRequest);
-        callback.acquired(connection);
+    }
+
+    /**
+     * Makes sure that one more connection is allowed in this pool. At the limit, the connection idle for longest makes
+     * room, as it has not been idle long enough to be used. Returns false if all are in use.
+     */
+    private boolean makeRoom() {
+        if (connectionCount() < limits.maxConnections()) {
+            return true;
+        }
+        ServerConnection longestIdle = idleConnections.pollFirst();
+        if (longestIdle == null) {
+            return false;
+        }
+        discard(longestIdle);
+        return true;
     }
 
     /**
--- a/edge/src/test/java/thistlefall/edge/upstream/ServerConnectionPoolTest.java
+++ b/edge/src/test/java/thistlefall/edge/upstream/ServerConnectionPoolTest.java
@@ -137,9 +137,12 @@
         assertNotEquals(first.channelId(), acquire(pool).channelId());
     }
 
-    /** A connection below the minimum idle time is used only at the limit, when it would otherwise cause a failure. */
+    /**
+     * A connection below the minimum idle time must not be used even at the limit, as a late second response may still
+     * follow; it makes room for a new one, so that the request does not fail for want of a connection.
+     */
     @Test
-    void recentlyUsedConnectionIsReusedOnlyWhenNoNewOneIsAllowed() {
+    void recentlyUsedConnectionMakesRoomForANewOneAtTheLimit() {
         ServerConnectionPool pool = createPool(
                 createLimits(2, NANOS_PER_SECOND, NANOS_PER_SECOND, 3_600 * NANOS_PER_SECOND),
                 new ConnectionLimiter(2));
@@ -147,7 +150,12 @@
         release(first);
         RecordingCallback second = acquire(pool);
         assertNotEquals(first.channelId(), second.channelId());
-        assertEquals(first.channelId(), acquire(pool).channelId());
+        RecordingCallback third = acquire(pool);
+        assertNotEquals(first.channelId(), third.channelId());
+        assertNotEquals(second.channelId(), third.channelId());
+        await(() -> !first.connection.channel().isOpen());
+        assertTrue(second.connection.channel().isOpen(), "a connection in use stays open");
+        assertEquals(2, pool.connectionCount());
         assertEquals(EndReason.NO_PLACE, acquire(pool).failureReason);
     }
 
