No request is dispatched on a client connection that a failed write has closed

Request ...a492 followed: its client closed at 4,936.0 ms, the request before it was answered into the closed connection, and it was sent at 5,191.8 ms.

Cause, one of two: a failed write closes the channel, but channelInactive comes later in the event loop's turn. In between responseFinished dispatched the next pending request.

Change: dispatchPending asks whether the channel is active.

--- a/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
@@ -166,7 +166,9 @@
         dispatching = true;
         try {
             RequestContext firstPending = pendingRequests.peek();
+            // A failed write closes the channel before channelInactive reports it; nothing begins in between.
             while (firstPending != null
+                    && channel.isActive()
                     && !firstPending.resolutionStarted
                     && !firstPending.responseStarted
                     && (firstPending.body.isComplete() || !dialect.buffersRequests())) {
