Reading from a platform client never pauses; surplus requests are refused

The client of requests ...a490 to ...a557 closed at 4,936.0 ms, with 200 requests sent; the node took no notice until its first response failed to be written.

Cause: with more than 32 requests pending, or 64 KiB of bodies, reading paused. The end of the connection lies behind the unread rest, and the transport has no other notice of it. The pause had a second effect: a request's time counted from when the node got round to reading it, not from when the client had sent it.

Change: where the protocol has a client send one request at a time (Dialect.allowsPipelining says so), reading goes on. RequestPipeline holds the limits and the order.

--- a/core/src/main/java/thistlefall/lifecycle/ConnectionLifecycle.java
+++ b/core/src/main/java/thistlefall/lifecycle/ConnectionLifecycle.java
@@ -25,6 +25,11 @@
         return outputShut;
     }
 
+    /** Returns whether a response has announced that the connection closes after it. */
+    public boolean closeAnnounced() {
+        return closeAnnounced;
+    }
+
     /**
      * Requests that the connection ends after the responses to all accepted requests, or at once if there are none.
      */
--- a/core/src/main/java/thistlefall/request/FailureCause.java
+++ b/core/src/main/java/thistlefall/request/FailureCause.java
@@ -30,6 +30,8 @@
     TOKEN_UNKNOWN,
     /** The node holds as many open requests as allowed. */
     FULL,
+    /** The client sent too many requests at once on one connection. */
+    PIPELINED,
     /** The node shuts down. */
     STOPPING,
     /** The deadline came and the request was still open. */
--- a/edge/src/main/java/thistlefall/edge/node/BearerDialect.java
+++ b/edge/src/main/java/thistlefall/edge/node/BearerDialect.java
@@ -20,6 +20,11 @@
         return false;
     }
 
+    @Override
+    public boolean allowsPipelining() {
+        return true;
+    }
+
     @Override
     public int maxBufferedResponse() {
         return MAX_BUFFERED_RESPONSE_BYTES;
--- a/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
@@ -11,7 +11,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.function.Consumer;
 import thistlefall.edge.http.BodyEnd;
 import thistlefall.edge.http.Framing;
@@ -26,9 +25,9 @@
 
 /**
  * The connection of one client: reads requests, passes them on one after another and writes their responses in the same
- * order. Reading pauses while too many requests are pipelined or while nothing consumes the current body.
- * {@link #writePiece} tells the sender of a response when the client reads slowly. Connections never wait for each
- * other. Confined to the node's event loop.
+ * order. Beyond the limits of a {@link RequestPipeline}, either reading pauses or surplus requests are refused, as the
+ * dialect says. {@link #writePiece} tells the sender of a response when the client reads slowly. Connections never wait
+ * for each other. Confined to the node's event loop.
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
     private static final ByteBuf CONTINUE_RESPONSE = Unpooled.unreleasableBuffer(Unpooled.directBuffer(25)
@@ -41,9 +40,12 @@
     private final LimitSettings limits;
     private final Dialect dialect;
     private final RequestDecoder decoder;
-    private final ArrayDeque<RequestContext> pendingRequests = new ArrayDeque<>();
+    private final RequestPipeline pendingRequests;
     private Channel channel;
     private RequestContext receivingRequest;
+    /** The head of a surplus request whose body is being received and discarded; null otherwise. */
+    private MessageHead.RequestHead surplusHead;
+
     private MalformedMessageException decodeError;
     private final ConnectionLifecycle lifecycle = new ConnectionLifecycle();
     private boolean chunkedResponse;
@@ -68,6 +70,7 @@
         this.limits = limits;
         this.dialect = dialect;
         this.decoder = decoder;
+        pendingRequests = new RequestPipeline(limits.maxPipelined(), limits.replayBody());
     }
 
     @Override
@@ -82,37 +85,11 @@
         if (!lifecycle.acceptsRequests() || decodeError != null) {
             ReferenceCountUtil.release(message);
         } else if (message instanceof MessageHead.RequestHead head) {
-            if (!dialect.buffersRequests()) {
-                timer.cancel(receiveTimer);
-            }
-            timer.cancel(idleTimer);
-            connectionManager.setIdle(this, false);
-            receivingRequest = new RequestContext(
-                    this, head, timer.earliestArrival(), limits.replayBody(), connectionManager.bodyBufferBudget());
-            pendingRequests.add(receivingRequest);
-            dispatchPending();
+            headReceived(head);
         } else if (message instanceof ByteBuf piece) {
-            if (!receivingRequest.body.add(piece)) {
-                // The request was never sent to a server, so the client may repeat it. The rest of it is not parsed.
-                decodeError = new MalformedMessageException(503, "too many long bodies at once");
-                handleDecodeError();
-            }
+            bodyReceived(piece);
         } else if (message instanceof BodyEnd bodyEnd) {
-            if (receivingRequest != null) {
-                RequestContext completedRequest = receivingRequest;
-                receivingRequest = null;
-                if (!completedRequest.head.keepAlive()) {
-                    // The client announced its last request; anything after it is discarded.
-                    lifecycle.noMoreRequests();
-                }
-                completedRequest.body.complete(bodyEnd.trailers());
-                if (dialect.buffersRequests()) {
-                    timer.cancel(receiveTimer);
-                    receiveTimerActive = false;
-                    completedRequest.arrivedAt = timer.earliestArrival();
-                    dispatchPending();
-                }
-            }
+            requestReceived(bodyEnd);
         } else if (message instanceof MalformedMessageException malformedMessage) {
             decodeError = malformedMessage;
             handleDecodeError();
@@ -120,6 +97,101 @@
         updateAutoRead();
     }
 
+    private void headReceived(MessageHead.RequestHead head) {
+        if (!dialect.buffersRequests()) {
+            timer.cancel(receiveTimer);
+        }
+        timer.cancel(idleTimer);
+        connectionManager.setIdle(this, false);
+        if (refusesSurplus() && pendingRequests.isFull()) {
+            surplusHead = head;
+            return;
+        }
+        receivingRequest = new RequestContext(
+                this, head, timer.earliestArrival(), limits.replayBody(), connectionManager.bodyBufferBudget());
+        pendingRequests.add(receivingRequest);
+        dispatchPending();
+    }
+
+    private void bodyReceived(ByteBuf piece) {
+        if (receivingRequest == null) {
+            // The body of a surplus request.
+            piece.release();
+        } else if (!receivingRequest.body.add(piece)) {
+            // The request was never sent to a server, so the client may repeat it. The rest of it is not parsed.
+            decodeError = new MalformedMessageException(503, "too many long bodies at once");
+            handleDecodeError();
+        } else if (refusesSurplus() && pendingRequests.exceedsBufferLimit()) {
+            surplusHead = receivingRequest.head;
+            pendingRequests.removeIncomplete(receivingRequest);
+            receivingRequest.body.release();
+            receivingRequest = null;
+        }
+    }
+
+    private void requestReceived(BodyEnd bodyEnd) {
+        if (surplusHead != null) {
+            surplusReceived();
+        } else if (receivingRequest != null) {
+            RequestContext completedRequest = receivingRequest;
+            receivingRequest = null;
+            if (!completedRequest.head.keepAlive()) {
+                // The client announced its last request; anything after it is discarded.
+                lifecycle.noMoreRequests();
+            }
+            completedRequest.body.complete(bodyEnd.trailers());
+            if (dialect.buffersRequests()) {
+                cancelReceiveTimer();
+                completedRequest.arrivedAt = timer.earliestArrival();
+                dispatchPending();
+            }
+        }
+    }
+
+    /** Whether requests that exceed the pipeline's limits are refused. Otherwise reading pauses before them. */
+    private boolean refusesSurplus() {
+        return !dialect.allowsPipelining();
+    }
+
+    /** Refuses a complete surplus request, once the requests before it have their responses. */
+    private void surplusReceived() {
+        boolean lastRequest = !surplusHead.keepAlive();
+        surplusHead = null;
+        cancelReceiveTimer();
+        if (lastRequest) {
+            lifecycle.noMoreRequests();
+        }
+        connectionManager.countSurplusRequest();
+        if (pendingRequests.isEmpty()) {
+            writeSurplusRefusals(1);
+            if (!shutOutputIfFinished()) {
+                startIdleTimer();
+            }
+        } else if (pendingRequests.surplusCount() < SurplusRefusals.MAX_PENDING) {
+            pendingRequests.addSurplus();
+        } else {
+            decodeError = new MalformedMessageException(503, "too many requests at once on one connection");
+            handleDecodeError();
+        }
+    }
+
+    /** Refuses surplus requests, all before them having their responses. */
+    private void writeSurplusRefusals(int count) {
+        if (count == 0 || !channel.isActive()) {
+            return;
+        }
+        int laterResponses = pendingRequests.pendingResponseCount();
+        boolean lastRequest = laterResponses == 0 && !lifecycle.acceptsRequests();
+        boolean announcesClose = lifecycle.announcesClose(lastRequest, laterResponses);
+        channel.writeAndFlush(SurplusRefusals.encode(channel.alloc(), count, announcesClose));
+        startWriteStallTimer();
+    }
+
+    private void cancelReceiveTimer() {
+        timer.cancel(receiveTimer);
+        receiveTimerActive = false;
+    }
+
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
         boolean partiallyReceived = isPartiallyReceived();
@@ -134,8 +206,7 @@
                 }
             });
         } else if (!partiallyReceived && receiveTimerActive) {
-            receiveTimerActive = false;
-            timer.cancel(receiveTimer);
+            cancelReceiveTimer();
         }
     }
 
@@ -165,7 +236,7 @@
         }
         dispatching = true;
         try {
-            RequestContext firstPending = pendingRequests.peek();
+            RequestContext firstPending = pendingRequests.first();
             // A failed write closes the channel before channelInactive reports it; nothing begins in between.
             while (firstPending != null
                     && channel.isActive()
@@ -173,7 +244,7 @@
                     && !firstPending.responseStarted
                     && (firstPending.body.isComplete() || !dialect.buffersRequests())) {
                 connectionManager.resolveRequest(firstPending);
-                firstPending = pendingRequests.peek();
+                firstPending = pendingRequests.first();
             }
         } finally {
             dispatching = false;
@@ -192,11 +263,11 @@
             // The body is malformed: its request cannot be served, and the end of the body cannot be found.
             RequestContext brokenRequest = receivingRequest;
             receivingRequest = null;
-            if (brokenRequest == pendingRequests.peek() && !brokenRequest.responseStarted) {
+            if (brokenRequest == pendingRequests.first() && !brokenRequest.responseStarted) {
                 connectionManager.requestBodyFailed(
                         brokenRequest, ProblemDetails.clientError(decodeError.status(), decodeError.getMessage()));
             } else {
-                pendingRequests.remove(brokenRequest);
+                pendingRequests.removeIncomplete(brokenRequest);
                 brokenRequest.body.release();
             }
             return;
@@ -209,39 +280,29 @@
         }
     }
 
-    /** Resumes or pauses reading from the client; while it is paused, a disconnect of the client goes unnoticed. */
+    /**
+     * Resumes or pauses reading from the client; while it is paused, a disconnect of the client goes unnoticed. Reading
+     * never pauses if surplus requests are refused.
+     */
     void updateAutoRead() {
-        boolean autoRead = pendingRequests.size() <= limits.maxPipelined()
-                        && (receivingRequest == null || receivingRequest.body.needsMoreInput())
-                        && (pendingRequests.size() <= 1 || bufferedBytes() <= limits.replayBody())
-                || lifecycle.outputShut();
+        boolean autoRead = refusesSurplus()
+                || lifecycle.outputShut()
+                || !pendingRequests.isFull() && (receivingRequest == null || receivingRequest.body.needsMoreInput());
         if (channel.config().isAutoRead() != autoRead) {
             channel.config().setAutoRead(autoRead);
         }
     }
 
-    private long bufferedBytes() {
-        return pendingRequests.stream()
-                .mapToLong(requestContext -> requestContext.body.bufferedBytes())
-                .sum();
-    }
-
-    /** Returns the number of dispatched or completely received requests whose responses are not complete. */
-    private int pendingResponseCount() {
-        return (int) pendingRequests.stream()
-                .filter(requestContext -> requestContext.resolutionStarted || requestContext.body.isComplete())
-                .count();
-    }
-
     /** Whether a response is pending or not yet fully written to the socket. */
     boolean isBusy() {
         ChannelOutboundBuffer outboundBuffer = channel.unsafe().outboundBuffer();
-        return pendingResponseCount() > 0 || outboundBuffer != null && outboundBuffer.totalPendingWriteBytes() > 0;
+        return pendingRequests.pendingResponseCount() > 0
+                || outboundBuffer != null && outboundBuffer.totalPendingWriteBytes() > 0;
     }
 
     /** Whether the response to the first pending request must announce that the connection closes after it. */
     private boolean announcesClose(boolean required) {
-        return lifecycle.announcesClose(required, Math.max(0, pendingResponseCount() - 1));
+        return lifecycle.announcesClose(required, Math.max(0, pendingRequests.pendingResponseCount() - 1));
     }
 
     /** Sends {@code 100 Continue} if the client waits for it before sending the body. */
@@ -279,7 +340,7 @@
             HttpWriter.writeConnectionClose(out);
         }
         boolean headOnly = !pendingRequests.isEmpty()
-                && pendingRequests.peek().head.method().equals("HEAD");
+                && pendingRequests.first().head.method().equals("HEAD");
         HttpWriter.endHead(out);
         if (!headOnly) {
             out.writeBytes(body);
@@ -353,14 +414,17 @@
     private void responseFinished(RequestContext requestContext) {
         anyRequestCompleted = true;
         requestContext.body.release();
-        if (pendingRequests.peek() != requestContext) {
+        if (pendingRequests.first() != requestContext) {
             // The connection was closed in the meantime.
             return;
         }
-        pendingRequests.poll();
+        int surplusBehind = pendingRequests.removeFirst();
         if (receivingRequest == requestContext) {
             receivingRequest = null;
         }
+        if (!lifecycle.closeAnnounced()) {
+            writeSurplusRefusals(surplusBehind);
+        }
         if (shutOutputIfFinished()) {
             return;
         }
@@ -373,7 +437,7 @@
 
     /** Shuts the output if the connection is closing and no response is pending; returns whether it did. */
     private boolean shutOutputIfFinished() {
-        boolean shouldShut = lifecycle.shouldShutOutput(pendingResponseCount());
+        boolean shouldShut = lifecycle.shouldShutOutput(pendingRequests.pendingResponseCount());
         if (shouldShut) {
             shutOutput();
         }
@@ -384,8 +448,7 @@
     private void shutOutput() {
         timer.cancel(receiveTimer);
         timer.cancel(idleTimer);
-        pendingRequests.forEach(pendingRequest -> pendingRequest.body.release());
-        pendingRequests.clear();
+        pendingRequests.removeAll().forEach(pendingRequest -> pendingRequest.body.release());
         receivingRequest = null;
         connectionManager.startLingering(this);
         updateAutoRead();
@@ -428,7 +491,7 @@
         if (channel.isWritable()) {
             timer.cancel(stallTimer);
             stallTimer = null;
-            RequestContext firstPending = pendingRequests.peek();
+            RequestContext firstPending = pendingRequests.first();
             if (firstPending != null && firstPending.currentAttempt != null) {
                 firstPending.currentAttempt.clientWritable();
             }
@@ -441,10 +504,8 @@
         timer.cancel(receiveTimer);
         timer.cancel(idleTimer);
         timer.cancel(stallTimer);
-        var unfinishedRequests = new ArrayDeque<>(pendingRequests);
-        pendingRequests.clear();
         receivingRequest = null;
-        unfinishedRequests.forEach(connectionManager::clientGone);
+        pendingRequests.removeAll().forEach(connectionManager::clientGone);
         connectionManager.connectionClosed(this);
     }
 
--- a/edge/src/main/java/thistlefall/edge/node/ClientConnectionManager.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientConnectionManager.java
@@ -139,6 +139,12 @@
         resolver.resolve(requestContext);
     }
 
+    /** Counts a request that was refused because too many of its connection were pending. */
+    void countSurplusRequest() {
+        metrics.requests++;
+        metrics.countRefused(FailureCause.PIPELINED);
+    }
+
     /** Accepts a request, or refuses it and returns false if the node is draining or at its limit of open requests. */
     boolean accept(RequestContext requestContext, RequestClass requestClass, long clientTimeout) {
         if (draining || !activeRequests.hasCapacity()) {
--- a/edge/src/main/java/thistlefall/edge/node/Dialect.java
+++ b/edge/src/main/java/thistlefall/edge/node/Dialect.java
@@ -20,6 +20,13 @@
      */
     boolean buffersRequests();
 
+    /**
+     * Whether clients may send further requests before the response to the first. If so, reading pauses while too many
+     * are pending. Otherwise reading never pauses, so that the end of a connection is always noticed, and surplus
+     * requests are refused.
+     */
+    boolean allowsPipelining();
+
     /**
      * Responses of up to this many bytes are forwarded only once they are complete, so that the request can be retried
      * if the response breaks off.
--- a/edge/src/main/java/thistlefall/edge/node/ProblemDetails.java
+++ b/edge/src/main/java/thistlefall/edge/node/ProblemDetails.java
@@ -94,6 +94,7 @@
             case TOKEN -> "the token is not active";
             case TOKEN_UNKNOWN -> "the token could not be checked in time";
             case FULL -> "this gateway holds as many requests as it may";
+            case PIPELINED -> "too many requests were sent at once on this connection";
             case STOPPING -> "this gateway is stopping";
             case OVERDUE -> "the request's time is up";
             case CRASHED -> "an error inside this gateway";
--- a/edge/src/main/java/thistlefall/edge/node/RequestContext.java
+++ b/edge/src/main/java/thistlefall/edge/node/RequestContext.java
@@ -11,6 +11,8 @@
     final RequestBody body;
     /** The earliest time by the monotonic clock at which its head, or its last byte if buffered, can have arrived. */
     long arrivedAt;
+    /** The number of complete surplus requests that arrived directly behind it; see {@link RequestPipeline}. */
+    int surplusRequestsBehind;
     /** Whether it has been passed to the request resolver. */
     boolean resolutionStarted;
 
