A class refused for its mean service time is measured once a second

Cause: a first attempt must have 1.5 times the class's mean service time left, and that mean moves only with responses of attempts. Above two thirds of the aim there are none, so the refusal keeps itself true.

Change, in the module: a request that the mean alone would refuse is sent if the mean has been neither moved nor measured for a control interval. While it refuses, a response weighs as in a server's mean, or by the time since the one before, and the mean counts as the aim at most.

--- a/core/src/main/java/thistlefall/Gateway.java
+++ b/core/src/main/java/thistlefall/Gateway.java
@@ -79,6 +79,8 @@
     private static final double MIN_SHARE = 0.02;
     /** Lower bound of the concurrency level, both absolute and relative to its limit, so that no class starves. */
     private static final double MIN_LEVEL = 0.25;
+    /** Weight of a new response in a class's average service time. */
+    private static final double SERVICE_TIME_WEIGHT = 0.02;
     /** Weight of a new response in a server's average latency. */
     private static final double LATENCY_WEIGHT = 0.12;
     /** Weight of a new response in a server's error rate. */
@@ -239,6 +241,7 @@
         classQueue.arrivals++;
         PendingRequest pendingRequest = new PendingRequest(request, customer, classQueue);
         pendingRequests.put(request.id(), pendingRequest);
+        classQueue.measureIfRefusedByServiceTime(pendingRequest);
         if (pendingRequest.cannotMeetAim()) {
             // Some requests arrive with so little time left that the next check of the queue would be too late.
             refuseOrFail(pendingRequest, Reason.TIME);
@@ -717,6 +720,9 @@
          */
         private double localCeilingUnits;
 
+        /** Whether its first attempt measures the service time, so that the class's estimate does not refuse it. */
+        private boolean measuresServiceTime;
+
         private int attemptCount;
         private ServerState server;
         private long sentAt;
@@ -786,7 +792,19 @@
          * host's time granularity or, before the first attempt, at most 1.5 expected service times.
          */
         boolean cannotMeetAim() {
-            long timeNeeded = attemptCount == 0 ? (long) (FIRST_ATTEMPT_MARGIN * expectedServiceTime() * SECOND) : 0;
+            return lacksTime(attemptCount == 0 && !measuresServiceTime ? firstAttemptTime() : 0);
+        }
+
+        /** Returns whether only the class's average service time keeps it from being sent. */
+        boolean isRefusedByServiceTime() {
+            return lacksTime(firstAttemptTime()) && !lacksTime(0);
+        }
+
+        private long firstAttemptTime() {
+            return (long) (FIRST_ATTEMPT_MARGIN * expectedServiceTime() * SECOND);
+        }
+
+        private boolean lacksTime(long timeNeeded) {
             return now + Math.max(timeNeeded, 2 * TIMER_INTERVAL + settings.timeGranularity()) >= aimDeadline();
         }
 
@@ -806,6 +824,12 @@
         /** Average service time in seconds. */
         private double serviceTime;
 
+        private long serviceTimeUpdatedAt = now;
+        /** When a request was last sent to measure the service time. */
+        private long measuredAt = now;
+        /** When the average service time last refused a request. */
+        private long refusedByServiceTimeAt = now - SECOND;
+
         private double averageUnits = 1;
         /** Average product of price and units. */
         private double averagePrice = 1;
@@ -841,7 +865,7 @@
             double tookSeconds = result.duration() * SECONDS_PER_NANO;
             if (result.outcome() == Outcome.OK) {
                 servedCount++;
-                serviceTime += 0.02 * (tookSeconds - serviceTime);
+                updateServiceTime(tookSeconds);
                 averageUnits += 0.02 * (pendingRequest.request.units() - averageUnits);
                 averagePrice +=
                         0.02 * (pendingRequest.customer.plan.price() * pendingRequest.request.units() - averagePrice);
@@ -853,6 +877,35 @@
                 serviceTimes.add(Math.max(tookSeconds, 2 * requestClass.aim() * SECONDS_PER_NANO));
             }
         }
+
+        private void updateServiceTime(double tookSeconds) {
+            double weight = SERVICE_TIME_WEIGHT;
+            if (now - refusedByServiceTimeAt < SECOND) {
+                // Responses are rare now, so each counts for more, as for a server's average latency. An average above
+                // the aim refuses no more than one that equals it, and would only take longer to fall.
+                serviceTime = Math.min(serviceTime, requestClass.aim() * SECONDS_PER_NANO);
+                double secondsSinceUpdate = (now - serviceTimeUpdatedAt) * SECONDS_PER_NANO;
+                weight = Math.max(LATENCY_WEIGHT, 1 - Math.exp(-secondsSinceUpdate / AVERAGE_DECAY_SECONDS));
+            }
+            serviceTime += weight * (tookSeconds - serviceTime);
+            serviceTimeUpdatedAt = now;
+        }
+
+        /**
+         * If the class's average service time alone would refuse the request, lets it measure the service time instead,
+         * provided that the average has not been updated or measured for a control interval. The average follows from
+         * attempts only, so that without this a class whose servers were slow for a while would be refused for good.
+         */
+        void measureIfRefusedByServiceTime(PendingRequest pendingRequest) {
+            if (!pendingRequest.isRefusedByServiceTime()) {
+                return;
+            }
+            refusedByServiceTimeAt = now;
+            if (now - Math.max(serviceTimeUpdatedAt, measuredAt) >= SECOND) {
+                pendingRequest.measuresServiceTime = true;
+                measuredAt = now;
+            }
+        }
     }
 
     /**
--- a/core/src/test/java/thistlefall/RecordingHost.java
+++ b/core/src/test/java/thistlefall/RecordingHost.java
@@ -108,13 +108,18 @@
     }
 
     void endAttempt(String id, Outcome outcome, boolean complete) {
+        endAttempt(id, outcome, complete, 20 * MS);
+    }
+
+    /** Ends the newest attempt of a request, which took {@code duration} nanoseconds. */
+    void endAttempt(String id, Outcome outcome, boolean complete, long duration) {
         SentAttempt last = attemptsOf(id).get(attemptsOf(id).size() - 1);
         gateway.attemptEnded(
                 now,
                 new Result(
                         id,
                         outcome,
-                        20 * MS,
+                        duration,
                         last.server(),
                         complete,
                         attemptsOf(id).size() - 1,
