A zone's error rate decays while nothing is heard from the zone

Seen: by a test, after the estimates had been listed. With up to three gateways, a zone whose connections failed for 60 s gets no attempt after its return (0 % of the served requests in the next 75 s, 44 % before).

Cause: servers' error rates decay towards their zone's average, which moved only with attempts in the zone. At nearly 1 the zone's servers rank a thousand times worse than others, and a gateway that ranks all servers makes no attempt there.

Change, in the module: without a response from the zone for a control interval the average decays with 4 s, as those of servers do.

--- a/core/src/main/java/thistlefall/Gateway.java
+++ b/core/src/main/java/thistlefall/Gateway.java
@@ -130,7 +130,7 @@
     /** Average quotient of measured and expected service time, by kind of server. */
     private final Map<Integer, Double> latencyRatioByKind = new HashMap<>();
 
-    private final Map<Integer, Double> errorRateByZone = new HashMap<>();
+    private final Map<Integer, ZoneErrorRate> errorRateByZone = new HashMap<>();
     private final ServerState[] recentServers = new ServerState[RECENT_SERVER_COUNT];
     private final ClassQueue[] classQueues;
     private final AdaptiveController controller;
@@ -1312,6 +1312,26 @@
         }
     }
 
+    /**
+     * The average error rate of a zone's servers. It follows from attempts only, and while another zone looks better
+     * there may be none; so without any for a control interval it decays.
+     */
+    private final class ZoneErrorRate {
+        private double average;
+        private long lastHeardAt = now;
+
+        double current() {
+            double silentSeconds = Math.max(0, now - lastHeardAt - SECOND) * SECONDS_PER_NANO;
+            return average * Math.exp(-silentSeconds / AVERAGE_DECAY_SECONDS);
+        }
+
+        void add(double observedError, double weight) {
+            average = current();
+            average += weight * (observedError - average);
+            lastHeardAt = now;
+        }
+    }
+
     /** What this gateway knows of one server: its list entry, its attempts in flight, and its averages. */
     private final class ServerState {
         private final String id;
@@ -1334,7 +1354,7 @@
             id = entry.id();
             this.entry = entry;
             latencyRatio = latencyRatioByKind.getOrDefault(entry.kind(), 1.0);
-            errorRate = errorRateByZone.getOrDefault(entry.zone(), 0.0);
+            errorRate = usualErrorRate();
         }
 
         boolean isCold() {
@@ -1363,8 +1383,13 @@
                     + (average - usual) * Math.exp(-(now - lastHeardAt) * SECONDS_PER_NANO / AVERAGE_DECAY_SECONDS);
         }
 
+        private double usualErrorRate() {
+            ZoneErrorRate zoneErrorRate = errorRateByZone.get(entry.zone());
+            return zoneErrorRate == null ? 0 : zoneErrorRate.current();
+        }
+
         double currentErrorRate() {
-            return decayTowards(errorRate, errorRateByZone.getOrDefault(entry.zone(), 0.0));
+            return decayTowards(errorRate, usualErrorRate());
         }
 
         boolean inGroupOf(PendingRequest pendingRequest) {
@@ -1417,10 +1442,9 @@
             double fleetWeight = 2 * LATENCY_WEIGHT / Math.max(1, readyServers.size());
             latencyRatioByKind.merge(
                     entry.kind(), observedRatio, (average, latest) -> average + fleetWeight * (latest - average));
-            errorRateByZone.merge(
-                    entry.zone(),
-                    fleetWeight * observedError,
-                    (average, latest) -> average + fleetWeight * (observedError - average));
+            errorRateByZone
+                    .computeIfAbsent(entry.zone(), zone -> new ZoneErrorRate())
+                    .add(observedError, fleetWeight);
             latencyRatio = decayTowards(latencyRatio, latencyRatioByKind.get(entry.kind()));
             errorRate = currentErrorRate();
             lastHeardAt = now;
