Only a class whose mean refuses average requests is measured

Suspected cause: requests of large size are refused for the mean times their size also in ordinary times, when smaller ones keep moving the mean. There is no refusal for good then, but one such request a second was sent, late, at each of a hundred nodes, and responses weighed six times as much.

Change: a request measures, and responses weigh more, only if the mean refuses a request of average size.

--- a/core/src/main/java/thistlefall/Gateway.java
+++ b/core/src/main/java/thistlefall/Gateway.java
@@ -892,12 +892,14 @@
         }
 
         /**
-         * If the class's average service time alone would refuse the request, lets it measure the service time instead,
-         * provided that the average has not been updated or measured for a control interval. The average follows from
-         * attempts only, so that without this a class whose servers were slow for a while would be refused for good.
+         * If the class's average service time refuses even requests of average size, and with it this one, lets it
+         * measure the service time instead, provided that the average has not been updated or measured for a control
+         * interval. The average follows from attempts only, so that without this a class whose servers were slow for a
+         * while would be refused for good.
          */
         void measureIfRefusedByServiceTime(PendingRequest pendingRequest) {
-            if (!pendingRequest.isRefusedByServiceTime()) {
+            boolean averageSizeRefused = FIRST_ATTEMPT_MARGIN * serviceTime >= requestClass.aim() * SECONDS_PER_NANO;
+            if (!averageSizeRefused || !pendingRequest.isRefusedByServiceTime()) {
                 return;
             }
             refusedByServiceTimeAt = now;
