A zone's error rate decays only where a gateway ranks all servers

Where servers are drawn at random, attempts in a zone go on, and a gateway of a large fleet, which hears of a zone only now and then, loses what it knows.

Change: the decay applies where all servers are ranked.

--- a/core/src/main/java/thistlefall/Gateway.java
+++ b/core/src/main/java/thistlefall/Gateway.java
@@ -1315,14 +1315,18 @@
     }
 
     /**
-     * The average error rate of a zone's servers. It follows from attempts only, and while another zone looks better
-     * there may be none; so without any for a control interval it decays.
+     * The average error rate of a zone's servers. It follows from attempts only. A gateway that ranks all servers may
+     * make none while another zone looks better, so there the average decays without any for a control interval. Where
+     * servers are drawn at random, attempts in the zone go on.
      */
     private final class ZoneErrorRate {
         private double average;
         private long lastHeardAt = now;
 
         double current() {
+            if (!ranksAllServers()) {
+                return average;
+            }
             double silentSeconds = Math.max(0, now - lastHeardAt - SECOND) * SECONDS_PER_NANO;
             return average * Math.exp(-silentSeconds / AVERAGE_DECAY_SECONDS);
         }
@@ -1474,19 +1478,26 @@
                     .filter(server -> server.inGroupOf(pendingRequest))
                     .toList();
         }
-        int maxCandidates = Math.max(2, CANDIDATES_PER_REQUEST * readyServers.size() / settings.gatewayCount());
-        if (maxCandidates >= readyServers.size()) {
+        if (ranksAllServers()) {
             return readyServers;
         }
         Stream<ServerState> randomServers = random.ints(0, readyServers.size())
                 .distinct()
-                .limit(maxCandidates)
+                .limit(maxCandidates())
                 .mapToObj(readyServers::get);
         return Stream.concat(
                         randomServers, Arrays.stream(recentServers).filter(server -> server != null && server.ready))
                 .toList();
     }
 
+    private int maxCandidates() {
+        return Math.max(2, CANDIDATES_PER_REQUEST * readyServers.size() / settings.gatewayCount());
+    }
+
+    private boolean ranksAllServers() {
+        return maxCandidates() >= readyServers.size();
+    }
+
     /** The candidate that should respond soonest; null if none may be used now. */
     private ServerState chooseServer(PendingRequest pendingRequest) {
         RequestClass requestClass = pendingRequest.classQueue.requestClass;
