One budget for everything that clients make a node hold

Cause: six thread dumps in a row show the event loop in Bits.reserveMemory, which sleeps for half a second when direct memory is used up. With counts added for it: the kept bodies were 6.3 to 7.2 MB, the buffers they pinned 13.3 to 14.0 MB, the allocator's chunks 16.5 of 16.8 MB; 3,832 slices kept 247 read buffers whole. So the sum over connections had no bound, small bodies were not counted, and what was counted was not what was held.

Change: MemoryBudget (core) divides one budget by a dynamic threshold; heads, bodies, incomplete input, buffered responses and unsent bytes count. Kept bytes lie in buffers of their own size. Connections above the threshold give way when another is denied memory. No dispatch while a client has not read 64 KiB of responses. A client is read once in its turn, 16 KiB at most. BufferBudget and the two limits beside it are gone. Metrics: client_memory and others.

Tests: ClientMemoryTest (process with the deployment's options). RequestBodyTest, RequestDecoderTest, ClientConnectionMemoryTest for the steps.

--- a/cli/src/test/java/thistlefall/cli/PlatformProcessTest.java
+++ b/cli/src/test/java/thistlefall/cli/PlatformProcessTest.java
@@ -3,6 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static thistlefall.cli.NodeProcess.awaitCondition;
+import static thistlefall.cli.NodeProcess.sendSignal;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -15,8 +17,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.locks.LockSupport;
-import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import thistlefall.standin.platform.DiscoveryServer;
@@ -28,51 +28,19 @@
     @TempDir
     Path folder;
 
-    private static void awaitCondition(BooleanSupplier condition) {
-        long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(40);
-        while (!condition.getAsBoolean()) {
-            if (System.nanoTime() > deadlineNanos) {
-                throw new AssertionError("condition not met within 40 s");
-            }
-            LockSupport.parkNanos(20_000_000L);
-        }
-    }
-
     private Process startProcess(String config) throws IOException {
-        var builder = new ProcessBuilder(List.of(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC",
-                "-Xmx40m",
-                "-XX:TieredStopAtLevel=1",
-                "-Dslf4j.provider=thistlefall.platform.log.PlainLogs",
-                "-cp",
-                System.getProperty("java.class.path"),
-                Launcher.class.getName(),
-                "platform"));
-        builder.environment().remove("EDGE_CONFIG");
-        if (config != null) {
-            builder.environment().put("EDGE_CONFIG", config);
-        }
-        builder.environment().put("TMPDIR", folder.toString());
-        return builder.redirectErrorStream(true)
-                .redirectOutput(folder.resolve("log").toFile())
-                .start();
+        return NodeProcess.start(
+                folder,
+                config,
+                List.of(
+                        "-XX:+UseSerialGC",
+                        "-Xmx40m",
+                        "-XX:TieredStopAtLevel=1",
+                        "-Dslf4j.provider=thistlefall.platform.log.PlainLogs"));
     }
 
     private String readLog() {
-        try {
-            return Files.readString(folder.resolve("log"));
-        } catch (IOException e) {
-            return "";
-        }
-    }
-
-    private static void sendSignal(Process process, String signalName) throws Exception {
-        assertEquals(
-                0,
-                new ProcessBuilder("kill", "-" + signalName, Long.toString(process.pid()))
-                        .start()
-                        .waitFor());
+        return NodeProcess.readLog(folder);
     }
 
     private static String exchange(PlatformEnvironment environment, String request) {
--- /dev/null
+++ b/core/src/main/java/thistlefall/memory/package-info.java
@@ -0,0 +1,2 @@
+/** Division of a node's memory for client data between the connections of its clients. */
+package thistlefall.memory;
--- a/core/src/main/java/thistlefall/request/FailureCause.java
+++ b/core/src/main/java/thistlefall/request/FailureCause.java
@@ -32,6 +32,8 @@
     FULL,
     /** The client sent too many requests at once on one connection. */
     PIPELINED,
+    /** The connections of clients hold as much memory as allowed, this one its part of it. */
+    MEMORY,
     /** The node shuts down. */
     STOPPING,
     /** The deadline came and the request was still open. */
--- a/edge/src/main/java/thistlefall/edge/http/HttpFields.java
+++ b/edge/src/main/java/thistlefall/edge/http/HttpFields.java
@@ -35,6 +35,11 @@
         return count;
     }
 
+    /** The memory that the fields take, in bytes. */
+    public int heldBytes() {
+        return block.length + spans.length * Integer.BYTES;
+    }
+
     /** The name of a line, as received. */
     public String name(int line) {
         return text(spans[line * SPANS_PER_LINE], spans[line * SPANS_PER_LINE + 1]);
--- a/edge/src/main/java/thistlefall/edge/http/MessageDecoder.java
+++ b/edge/src/main/java/thistlefall/edge/http/MessageDecoder.java
@@ -32,6 +32,27 @@
         chunkedDecoder = new ChunkedBodyDecoder(limits);
     }
 
+    /** Returns the memory taken by bytes that cannot be decoded before more have arrived. */
+    public final int undecodedBytes() {
+        return internalBuffer().capacity();
+    }
+
+    /** A buffer that the socket was read into may be much larger than the incomplete message that is left in it. */
+    private void shrinkUndecodedBytes() {
+        ByteBuf undecoded = internalBuffer();
+        int bytes = undecoded.readableBytes();
+        if (bytes > 0 && undecoded.refCnt() == 1 && undecoded.capacity() > 2 * bytes) {
+            undecoded.discardReadBytes();
+            undecoded.capacity(bytes);
+        }
+    }
+
+    @Override
+    public final void channelReadComplete(ChannelHandlerContext context) throws Exception {
+        shrinkUndecodedBytes();
+        super.channelReadComplete(context);
+    }
+
     /** Parses the head from the block that the parser has just read. */
     abstract MessageHead parseHead(HeadParser parser) throws MalformedMessageException;
 
--- a/edge/src/main/java/thistlefall/edge/node/ActionExecutor.java
+++ b/edge/src/main/java/thistlefall/edge/node/ActionExecutor.java
@@ -35,7 +35,6 @@
     private final ModuleHost moduleHost;
     private final Map<RequestContext, Request> requestsDeferredByStall = new HashMap<>();
     private final Dialect dialect;
-    private final BufferBudget responseBufferBudget;
     private RequestResolver resolver;
     private CounterDispatcher counter;
     private ClientConnectionManager connectionManager;
@@ -62,7 +61,6 @@
         this.settings = settings;
         this.serverPools = serverPools;
         this.dialect = dialect;
-        responseBufferBudget = new BufferBudget(dialect.maxBufferedResponse(), dialect.maxBufferedResponses());
         moduleHost = new ModuleHost(log, this::onModuleException);
     }
 
@@ -92,10 +90,6 @@
         return timer;
     }
 
-    BufferBudget responseBufferBudget() {
-        return responseBufferBudget;
-    }
-
     Dialect dialect() {
         return dialect;
     }
--- a/edge/src/main/java/thistlefall/edge/node/Attempt.java
+++ b/edge/src/main/java/thistlefall/edge/node/Attempt.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
-import java.util.ArrayList;
 import java.util.List;
 import thistlefall.Ports.Outcome;
 import thistlefall.attempt.AttemptProgress;
@@ -37,9 +36,12 @@
     private AttemptProgress progress = AttemptProgress.WAITING;
     private ServerConnection connection;
     private MessageHead.ResponseHead head;
-    private final List<ByteBuf> bufferedPieces = new ArrayList<>(2);
-    private long bufferedBytes;
+    private GrowingBuffer responseBuffer = new GrowingBuffer(0);
     private boolean buffering;
+    /** The bytes of the request that the server's socket has not accepted yet, if it is written as a whole. */
+    private int unsentBytes;
+
+    private boolean clientGone;
     private boolean forwarding;
     private boolean readPaused;
     private boolean ended;
@@ -61,6 +63,11 @@
         return number;
     }
 
+    /** Returns the memory that the attempt takes, in bytes. */
+    long heldBytes() {
+        return unsentBytes + responseBuffer.capacity();
+    }
+
     void start(ServerConnectionPool pool, long timeout) {
         deadlineTimeout = executor.eventLoopTimer().schedule(timeout, () -> end(EndReason.OVERDUE));
         if (number == 0) {
@@ -117,7 +124,10 @@
         HttpWriter.endHead(out);
         body.copyTo(out);
         ServerConnection requestConnection = connection;
+        unsentBytes = out.readableBytes();
         channel.writeAndFlush(out).addListener(writeFuture -> {
+            unsentBytes = 0;
+            requestContext.clientConnection.updateMemory();
             if (connection == requestConnection && writeFuture.isSuccess()) {
                 progress = progress == AttemptProgress.CONNECTED ? AttemptProgress.WRITTEN : progress;
                 requestConnection.requestWritten();
@@ -174,26 +184,25 @@
             return;
         }
         Framing framing = responseHead.framing();
-        buffering = switch (framing.kind()) {
-            case NONE -> true;
-            case LENGTH -> tryReserveBuffer(framing.length());
-                // The end of the connection marks the end of the response, so its completeness is unknown until then.
-            case CHUNKED, CLOSE -> executor.dialect().buffersRequests();
-        };
+        buffering = !clientGone
+                && switch (framing.kind()) {
+                    case NONE -> true;
+                    case LENGTH -> canBuffer(framing.length());
+                        // The end of the connection marks the end of the response, so its completeness is unknown
+                        // until then.
+                    case CHUNKED, CLOSE -> executor.dialect().buffersRequests();
+                };
         if (!buffering) {
             startForwarding();
+        } else if (framing.kind() == Framing.FramingKind.LENGTH) {
+            responseBuffer = new GrowingBuffer((int) framing.length());
         }
     }
 
-    private boolean tryReserveBuffer(long additionalBytes) {
-        boolean reserved = executor.responseBufferBudget().tryReserve(bufferedBytes, additionalBytes);
-        bufferedBytes += reserved ? additionalBytes : 0;
-        return reserved;
-    }
-
-    private void releaseBufferReservation() {
-        executor.responseBufferBudget().release(bufferedBytes);
-        bufferedBytes = 0;
+    /** Whether a response of this size may be buffered. */
+    private boolean canBuffer(long responseBytes) {
+        return responseBytes <= executor.dialect().maxBufferedResponse()
+                && requestContext.clientConnection.memory().tryGrow(responseBytes - responseBuffer.capacity());
     }
 
     private void startForwarding() {
@@ -211,16 +220,16 @@
 
     @Override
     public void bodyReceived(ByteBuf piece) {
-        if (buffering
-                && head.framing().kind() != Framing.FramingKind.LENGTH
-                && !tryReserveBuffer(piece.readableBytes())) {
+        if (buffering && !canBuffer(responseBuffer.size() + piece.readableBytes())) {
             // The response exceeds the buffer limits; forward it as it arrives from now on.
             buffering = false;
             startForwarding();
-            forwardBufferedPieces();
+            forwardBuffered();
         }
         if (buffering) {
-            bufferedPieces.add(piece);
+            responseBuffer.append(piece);
+            piece.release();
+            requestContext.clientConnection.updateMemory();
         } else if (!forwarding) {
             piece.release();
         } else if (!requestContext.clientConnection.writePiece(piece) && !readPaused) {
@@ -247,21 +256,21 @@
             startForwarding();
         }
         if (forwarding) {
-            forwardBufferedPieces();
+            forwardBuffered();
             requestContext.clientConnection.endResponse(requestContext, trailers);
         }
         end(EndReason.ANSWER);
     }
 
-    private void forwardBufferedPieces() {
-        if (forwarding && !bufferedPieces.isEmpty()) {
-            bufferedPieces.forEach(requestContext.clientConnection::writePiece);
-            bufferedPieces.clear();
-            long bytesToRelease = bufferedBytes;
-            bufferedBytes = 0;
-            // A client that reads slowly keeps these bytes in memory; release the reservation once they are written.
-            requestContext.clientConnection.whenWritten(
-                    () -> executor.responseBufferBudget().release(bytesToRelease));
+    private void forwardBuffered() {
+        ByteBuf bufferedBytes = responseBuffer.take();
+        if (bufferedBytes == null) {
+            return;
+        }
+        if (forwarding) {
+            requestContext.clientConnection.writePiece(bufferedBytes);
+        } else {
+            bufferedBytes.release();
         }
     }
 
@@ -273,8 +282,13 @@
 
     /** Handles the client's disconnect: ends the attempt, unless the server has the whole request and still runs it. */
     void clientGone() {
+        clientGone = true;
         if (forwarding || progress.compareTo(AttemptProgress.WRITTEN) < 0 || !requestContext.body.isComplete()) {
             end(EndReason.WITHDRAWN);
+        } else {
+            // Nobody will read the response; only its end matters.
+            buffering = false;
+            responseBuffer.release();
         }
     }
 
@@ -290,9 +304,7 @@
             return;
         }
         ended = true;
-        bufferedPieces.forEach(ByteBuf::release);
-        bufferedPieces.clear();
-        releaseBufferReservation();
+        responseBuffer.release();
         executor.eventLoopTimer().cancel(deadlineTimeout);
         requestContext.body.detach();
         if (connection != null) {
--- a/edge/src/main/java/thistlefall/edge/node/BearerDialect.java
+++ b/edge/src/main/java/thistlefall/edge/node/BearerDialect.java
@@ -30,16 +30,6 @@
         return MAX_BUFFERED_RESPONSE_BYTES;
     }
 
-    @Override
-    public long maxBufferedResponses() {
-        return Long.MAX_VALUE;
-    }
-
-    @Override
-    public long maxBufferedBodies() {
-        return Long.MAX_VALUE;
-    }
-
     @Override
     public void writeRequestFields(
             ByteBuf out,
--- a/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
@@ -11,6 +11,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.function.Consumer;
 import thistlefall.edge.http.BodyEnd;
 import thistlefall.edge.http.Framing;
@@ -21,6 +22,8 @@
 import thistlefall.edge.http.RequestDecoder;
 import thistlefall.edge.settings.NodeSettings.LimitSettings;
 import thistlefall.lifecycle.ConnectionLifecycle;
+import thistlefall.memory.MemoryBudget;
+import thistlefall.request.FailureCause;
 import thistlefall.timer.TimingWheel;
 
 /**
@@ -34,6 +37,9 @@
                     .writeBytes("HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII)))
             .asReadOnly();
 
+    /** A request that is refused once it is complete. */
+    private record SurplusRequest(MessageHead.RequestHead head, FailureCause cause) {}
+
     private final ClientConnectionManager connectionManager;
     private final Consumer<String> log;
     private final EventLoopTimer timer;
@@ -41,10 +47,11 @@
     private final Dialect dialect;
     private final RequestDecoder decoder;
     private final RequestPipeline pendingRequests;
+    private final MemoryBudget.Account memory;
     private Channel channel;
     private RequestContext receivingRequest;
-    /** The head of a surplus request whose body is being received and discarded; null otherwise. */
-    private MessageHead.RequestHead surplusHead;
+    /** The surplus request whose body is being received and discarded; null otherwise. */
+    private SurplusRequest receivingSurplus;
 
     private MalformedMessageException decodeError;
     private final ConnectionLifecycle lifecycle = new ConnectionLifecycle();
@@ -53,6 +60,7 @@
     private boolean receiveTimerActive;
     private long openedAt;
     private boolean anyRequestCompleted;
+    private long undecodedBytes;
     private TimingWheel.ScheduledTimeout<Runnable> receiveTimer;
     private TimingWheel.ScheduledTimeout<Runnable> idleTimer;
     private TimingWheel.ScheduledTimeout<Runnable> stallTimer;
@@ -71,6 +79,7 @@
         this.dialect = dialect;
         this.decoder = decoder;
         pendingRequests = new RequestPipeline(limits.maxPipelined(), limits.replayBody());
+        memory = connectionManager.clientMemory().openAccount();
     }
 
     @Override
@@ -94,6 +103,7 @@
             decodeError = malformedMessage;
             handleDecodeError();
         }
+        updateMemory();
         updateAutoRead();
     }
 
@@ -104,11 +114,14 @@
         timer.cancel(idleTimer);
         connectionManager.setIdle(this, false);
         if (refusesSurplus() && pendingRequests.isFull()) {
-            surplusHead = head;
+            receivingSurplus = new SurplusRequest(head, FailureCause.PIPELINED);
+            return;
+        }
+        if (refusesSurplus() && !memory.tryGrow(RequestContext.heldBytesWithoutBody(head))) {
+            receivingSurplus = new SurplusRequest(head, FailureCause.MEMORY);
             return;
         }
-        receivingRequest = new RequestContext(
-                this, head, timer.earliestArrival(), limits.replayBody(), connectionManager.bodyBufferBudget());
+        receivingRequest = new RequestContext(this, head, timer.earliestArrival(), limits.replayBody(), memory);
         pendingRequests.add(receivingRequest);
         dispatchPending();
     }
@@ -118,27 +131,38 @@
             // The body of a surplus request.
             piece.release();
         } else if (!receivingRequest.body.add(piece)) {
-            // The request was never sent to a server, so the client may repeat it. The rest of it is not parsed.
-            decodeError = new MalformedMessageException(503, "too many long bodies at once");
-            handleDecodeError();
+            refuseForMemory();
         } else if (refusesSurplus() && pendingRequests.exceedsBufferLimit()) {
-            surplusHead = receivingRequest.head;
-            pendingRequests.removeIncomplete(receivingRequest);
-            receivingRequest.body.release();
-            receivingRequest = null;
+            makeSurplus(FailureCause.PIPELINED);
         }
     }
 
+    /** Refuses the request whose body is being received: there is no memory for the rest of it. */
+    private void refuseForMemory() {
+        if (refusesSurplus() && pendingRequests.size() > 1) {
+            makeSurplus(FailureCause.MEMORY);
+            return;
+        }
+        // The request was never sent to a server, so the client may repeat it. The rest of it is not parsed.
+        decodeError = new MalformedMessageException(503, "too many long bodies at once");
+        handleDecodeError();
+    }
+
+    /** Makes a surplus request of the one whose body is being received. */
+    private void makeSurplus(FailureCause cause) {
+        receivingSurplus = new SurplusRequest(receivingRequest.head, cause);
+        pendingRequests.removeIncomplete(receivingRequest);
+        receivingRequest.body.release();
+        receivingRequest = null;
+    }
+
     private void requestReceived(BodyEnd bodyEnd) {
-        if (surplusHead != null) {
+        if (receivingSurplus != null) {
             surplusReceived();
         } else if (receivingRequest != null) {
             RequestContext completedRequest = receivingRequest;
             receivingRequest = null;
-            if (!completedRequest.head.keepAlive()) {
-                // The client announced its last request; anything after it is discarded.
-                lifecycle.noMoreRequests();
-            }
+            stopAfterLastRequest(completedRequest.head);
             completedRequest.body.complete(bodyEnd.trailers());
             if (dialect.buffersRequests()) {
                 cancelReceiveTimer();
@@ -148,6 +172,13 @@
         }
     }
 
+    /** If the client announced that this is its last request, anything after it is discarded. */
+    private void stopAfterLastRequest(MessageHead.RequestHead head) {
+        if (!head.keepAlive()) {
+            lifecycle.noMoreRequests();
+        }
+    }
+
     /** Whether requests that exceed the pipeline's limits are refused. Otherwise reading pauses before them. */
     private boolean refusesSurplus() {
         return !dialect.allowsPipelining();
@@ -155,36 +186,35 @@
 
     /** Refuses a complete surplus request, once the requests before it have their responses. */
     private void surplusReceived() {
-        boolean lastRequest = !surplusHead.keepAlive();
-        surplusHead = null;
+        SurplusRequest surplusRequest = receivingSurplus;
+        receivingSurplus = null;
         cancelReceiveTimer();
-        if (lastRequest) {
-            lifecycle.noMoreRequests();
-        }
-        connectionManager.countSurplusRequest();
-        if (pendingRequests.isEmpty()) {
-            writeSurplusRefusals(1);
-            if (!shutOutputIfFinished()) {
-                startIdleTimer();
-            }
-        } else if (pendingRequests.surplusCount() < SurplusRefusals.MAX_PENDING) {
+        stopAfterLastRequest(surplusRequest.head);
+        connectionManager.countSurplusRequest(surplusRequest.cause);
+        if (pendingRequests.surplusCount() < SurplusRefusals.MAX_PENDING) {
             pendingRequests.addSurplus();
+            writeDueRefusals();
         } else {
             decodeError = new MalformedMessageException(503, "too many requests at once on one connection");
             handleDecodeError();
         }
     }
 
-    /** Refuses surplus requests, all before them having their responses. */
-    private void writeSurplusRefusals(int count) {
-        if (count == 0 || !channel.isActive()) {
+    /** Refuses surplus requests whose responses are next, unless the client has not read earlier responses. */
+    private void writeDueRefusals() {
+        if (pendingRequests.dueRefusals() == 0 || !channel.isActive() || !channel.isWritable()) {
             return;
         }
+        int count = pendingRequests.removeDueRefusals();
         int laterResponses = pendingRequests.pendingResponseCount();
         boolean lastRequest = laterResponses == 0 && !lifecycle.acceptsRequests();
         boolean announcesClose = lifecycle.announcesClose(lastRequest, laterResponses);
         channel.writeAndFlush(SurplusRefusals.encode(channel.alloc(), count, announcesClose));
         startWriteStallTimer();
+        responseBytesWritten();
+        if (!shutOutputIfFinished() && pendingRequests.isEmpty()) {
+            startIdleTimer();
+        }
     }
 
     private void cancelReceiveTimer() {
@@ -194,6 +224,7 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
+        updateUndecodedBytes();
         boolean partiallyReceived = isPartiallyReceived();
         if (partiallyReceived && !receiveTimerActive) {
             receiveTimerActive = true;
@@ -210,6 +241,18 @@
         }
     }
 
+    private void updateUndecodedBytes() {
+        long growth = decoder.undecodedBytes() - undecodedBytes;
+        undecodedBytes += growth;
+        boolean acceptable =
+                growth <= 0 || decodeError != null || !lifecycle.acceptsRequests() || memory.tryGrow(growth);
+        updateMemory();
+        if (!acceptable) {
+            decodeError = new MalformedMessageException(503, "too many incomplete requests at once");
+            handleDecodeError();
+        }
+    }
+
     /**
      * Returns how long a partially received request may still take, in nanoseconds. Before the first response on a
      * connection, the limit for the first request applies as well; it runs from the opening of the connection.
@@ -229,7 +272,10 @@
                 && lifecycle.acceptsRequests();
     }
 
-    /** Dispatches the first pending request, unless that has already happened. */
+    /**
+     * Dispatches the first pending request, unless that has already happened or the client has not read earlier
+     * responses.
+     */
     private void dispatchPending() {
         if (dispatching) {
             return;
@@ -240,6 +286,8 @@
             // A failed write closes the channel before channelInactive reports it; nothing begins in between.
             while (firstPending != null
                     && channel.isActive()
+                    && channel.isWritable()
+                    && pendingRequests.dueRefusals() == 0
                     && !firstPending.resolutionStarted
                     && !firstPending.responseStarted
                     && (firstPending.body.isComplete() || !dialect.buffersRequests())) {
@@ -285,19 +333,74 @@
      * never pauses if surplus requests are refused.
      */
     void updateAutoRead() {
-        boolean autoRead = refusesSurplus()
-                || lifecycle.outputShut()
-                || !pendingRequests.isFull() && (receivingRequest == null || receivingRequest.body.needsMoreInput());
+        boolean autoRead = refusesSurplus() || lifecycle.outputShut() || canTakeMoreInput();
         if (channel.config().isAutoRead() != autoRead) {
             channel.config().setAutoRead(autoRead);
+            connectionManager.countReadingPaused(autoRead);
+        }
+    }
+
+    private boolean canTakeMoreInput() {
+        boolean betweenRequests = receivingRequest == null;
+        if (betweenRequests && !pendingRequests.isEmpty() && memory.exceedsThreshold()) {
+            return false;
+        }
+        return !pendingRequests.isFull() && (betweenRequests || receivingRequest.body.needsMoreInput());
+    }
+
+    /** What this connection holds of the node's memory for clients. */
+    MemoryBudget.Account memory() {
+        return memory;
+    }
+
+    /** Updates the account after a change of what the connection holds. */
+    void updateMemory() {
+        memory.setHeld(undecodedBytes + pendingRequests.heldBytes() + unsentBytes());
+    }
+
+    /** Returns the size of the responses that the socket has not accepted yet. */
+    private long unsentBytes() {
+        ChannelOutboundBuffer outboundBuffer = channel.unsafe().outboundBuffer();
+        return outboundBuffer == null ? 0 : outboundBuffer.totalPendingWriteBytes();
+    }
+
+    /** Updates the account after a write; what the client is slow to read is looked at again later. */
+    private void responseBytesWritten() {
+        updateMemory();
+        if (hasUnsentBytes()) {
+            connectionManager.watchUnsentBytes(this);
+        }
+    }
+
+    /** Whether the socket has not accepted all responses yet. */
+    boolean hasUnsentBytes() {
+        return unsentBytes() > 0;
+    }
+
+    /**
+     * Gives up what the connection can do without, because it holds more than it may: requests that wait behind
+     * another one are refused, and a client that does not read its responses is disconnected.
+     */
+    void giveWay() {
+        List<RequestContext> refused = refusesSurplus() ? pendingRequests.convertWaitingToSurplus() : List.of();
+        for (RequestContext requestContext : refused) {
+            requestContext.body.release();
+            connectionManager.countSurplusRequest(FailureCause.MEMORY);
+        }
+        updateMemory();
+        boolean unread = unsentBytes() > connectionManager.clientMemory().threshold();
+        if (!refused.isEmpty() || unread) {
+            connectionManager.countGaveWay();
+        }
+        if (unread) {
+            log.accept("client cut off: " + unsentBytes() + " bytes of responses not read while memory was short");
+            reset();
         }
     }
 
     /** Whether a response is pending or not yet fully written to the socket. */
     boolean isBusy() {
-        ChannelOutboundBuffer outboundBuffer = channel.unsafe().outboundBuffer();
-        return pendingRequests.pendingResponseCount() > 0
-                || outboundBuffer != null && outboundBuffer.totalPendingWriteBytes() > 0;
+        return pendingRequests.pendingResponseCount() > 0 || hasUnsentBytes();
     }
 
     /** Whether the response to the first pending request must announce that the connection closes after it. */
@@ -385,14 +488,10 @@
         }
         HttpWriter.writeBodyPiece(channel, piece, chunkedResponse);
         startWriteStallTimer();
+        responseBytesWritten();
         return channel.isWritable();
     }
 
-    /** Runs an action once all previous writes have completed or failed. */
-    void whenWritten(Runnable action) {
-        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(writeFuture -> action.run());
-    }
-
     /** Completes the response. */
     void endResponse(RequestContext requestContext, HttpFields trailers) {
         if (chunkedResponse) {
@@ -404,11 +503,15 @@
 
     /** Resets the connection because the response broke off, so that the client does not consider it complete. */
     void abortResponse(RequestContext requestContext) {
+        reset();
+        requestContext.body.release();
+    }
+
+    private void reset() {
         if (channel instanceof SocketChannel socket && socket.isActive()) {
             socket.config().setSoLinger(0);
         }
         channel.close();
-        requestContext.body.release();
     }
 
     private void responseFinished(RequestContext requestContext) {
@@ -418,12 +521,13 @@
             // The connection was closed in the meantime.
             return;
         }
-        int surplusBehind = pendingRequests.removeFirst();
+        pendingRequests.removeFirst();
+        responseBytesWritten();
         if (receivingRequest == requestContext) {
             receivingRequest = null;
         }
         if (!lifecycle.closeAnnounced()) {
-            writeSurplusRefusals(surplusBehind);
+            writeDueRefusals();
         }
         if (shutOutputIfFinished()) {
             return;
@@ -491,6 +595,9 @@
         if (channel.isWritable()) {
             timer.cancel(stallTimer);
             stallTimer = null;
+            updateMemory();
+            writeDueRefusals();
+            dispatchPending();
             RequestContext firstPending = pendingRequests.first();
             if (firstPending != null && firstPending.currentAttempt != null) {
                 firstPending.currentAttempt.clientWritable();
@@ -506,6 +613,7 @@
         timer.cancel(stallTimer);
         receivingRequest = null;
         pendingRequests.removeAll().forEach(connectionManager::clientGone);
+        memory.close();
         connectionManager.connectionClosed(this);
     }
 
--- a/edge/src/main/java/thistlefall/edge/node/ClientConnectionManager.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientConnectionManager.java
@@ -1,5 +1,6 @@
 package thistlefall.edge.node;
 
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -7,6 +8,7 @@
 import java.util.stream.Stream;
 import thistlefall.Ports.RequestClass;
 import thistlefall.clock.MonotonicWallClock;
+import thistlefall.memory.MemoryBudget;
 import thistlefall.request.FailureCause;
 
 /**
@@ -24,7 +26,7 @@
     private static final int LINGERING_DIVISOR = 12;
 
     private final int maxConnections;
-    private final BufferBudget bodyBufferBudget;
+    private final MemoryBudget clientMemory;
     private final NodeClock clock;
     private final NodeMetrics metrics;
     private final ActiveRequests activeRequests;
@@ -37,6 +39,9 @@
      */
     private final Set<ClientConnection> lingeringConnections = new LinkedHashSet<>();
 
+    /** Connections with responses that their sockets had not accepted when last looked at. */
+    private final Set<ClientConnection> connectionsWithUnsentBytes = new HashSet<>();
+
     private RequestResolver resolver;
     private ActionExecutor executor;
     private long lastOpenedAt = System.nanoTime();
@@ -45,12 +50,12 @@
 
     ClientConnectionManager(
             int maxConnections,
-            BufferBudget bodyBufferBudget,
+            MemoryBudget clientMemory,
             NodeClock clock,
             NodeMetrics metrics,
             ActiveRequests activeRequests) {
         this.maxConnections = maxConnections;
-        this.bodyBufferBudget = bodyBufferBudget;
+        this.clientMemory = clientMemory;
         this.clock = clock;
         this.metrics = metrics;
         this.activeRequests = activeRequests;
@@ -80,9 +85,47 @@
         return true;
     }
 
-    /** Returns the budget for buffered request bodies. */
-    BufferBudget bodyBufferBudget() {
-        return bodyBufferBudget;
+    /** Returns the budget for everything that clients make the node hold. */
+    MemoryBudget clientMemory() {
+        return clientMemory;
+    }
+
+    /** Keeps the account of a connection up to date until its socket has accepted all responses. */
+    void watchUnsentBytes(ClientConnection connection) {
+        connectionsWithUnsentBytes.add(connection);
+    }
+
+    /** Updates the accounts of clients that are slow to read, and ends a shortage of memory. */
+    void onTick() {
+        connectionsWithUnsentBytes.removeIf(connection -> {
+            connection.updateMemory();
+            return !connection.hasUnsentBytes();
+        });
+        relieveMemoryShortage();
+    }
+
+    /** If a connection was denied memory, lets those that hold more than they may give way, the largest first. */
+    private void relieveMemoryShortage() {
+        if (!clientMemory.takeShortage()) {
+            return;
+        }
+        Stream.concat(openConnections.stream(), lingeringConnections.stream())
+                .filter(connection -> connection.memory().exceedsThreshold())
+                .sorted(Comparator.comparingLong((ClientConnection connection) ->
+                                connection.memory().held())
+                        .reversed())
+                .toList()
+                .forEach(ClientConnection::giveWay);
+    }
+
+    /** Counts a pause of reading from a connection. */
+    void countReadingPaused(boolean resumed) {
+        metrics.readingPaused += resumed ? 0 : 1;
+    }
+
+    /** Counts a connection that gave way to others. */
+    void countGaveWay() {
+        metrics.connectionsThatGaveWay++;
     }
 
     /** Returns when the latest connection was opened, by the monotonic clock. */
@@ -130,6 +173,7 @@
         openConnections.remove(connection);
         idleConnections.remove(connection);
         lingeringConnections.remove(connection);
+        connectionsWithUnsentBytes.remove(connection);
     }
 
     /** Starts resolving the request that is first on its connection. */
@@ -139,10 +183,10 @@
         resolver.resolve(requestContext);
     }
 
-    /** Counts a request that was refused because too many of its connection were pending. */
-    void countSurplusRequest() {
+    /** Counts a request that is refused without being resolved. */
+    void countSurplusRequest(FailureCause cause) {
         metrics.requests++;
-        metrics.countRefused(FailureCause.PIPELINED);
+        metrics.countRefused(cause);
     }
 
     /** Accepts a request, or refuses it and returns false if the node is draining or at its limit of open requests. */
--- a/edge/src/main/java/thistlefall/edge/node/Dialect.java
+++ b/edge/src/main/java/thistlefall/edge/node/Dialect.java
@@ -33,12 +33,6 @@
      */
     int maxBufferedResponse();
 
-    /** The limit in bytes for all buffered responses together; responses beyond it are forwarded as they arrive. */
-    long maxBufferedResponses();
-
-    /** The limit in bytes for all buffered request bodies, small ones excepted; requests beyond it are refused. */
-    long maxBufferedBodies();
-
     /**
      * Writes the header fields of an attempt, except those for its framing.
      *
--- a/edge/src/main/java/thistlefall/edge/node/EdgeNode.java
+++ b/edge/src/main/java/thistlefall/edge/node/EdgeNode.java
@@ -1,6 +1,7 @@
 package thistlefall.edge.node;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -24,6 +25,7 @@
 import thistlefall.edge.settings.NodeSettings;
 import thistlefall.edge.upstream.Transports;
 import thistlefall.lifecycle.GracefulShutdown;
+import thistlefall.memory.MemoryBudget;
 
 /**
  * An edge node: accepts client connections, checks tokens, has the decision module decide on requests and forwards them
@@ -33,6 +35,10 @@
 public final class EdgeNode implements AutoCloseable {
     private static final Duration DEFAULT_DRAIN_TIMEOUT = Duration.ofSeconds(5);
     private static final long PHASE_CHECK_INTERVAL_MS = 5;
+    private static final int MIN_READ_BYTES = 64;
+    private static final int INITIAL_READ_BYTES = 2 * 1024;
+    /** What is read from one client in its turn on the event loop; the other clients wait for the requests in it. */
+    private static final int MAX_READ_BYTES = 16 * 1024;
 
     /**
      * Options that are not part of an operator's settings.
@@ -94,6 +100,10 @@
         var bootstrap = new ServerBootstrap()
                 .group(eventLoopGroup)
                 .channel(Transports.serverChannelClass(definition.listen()))
+                .childOption(
+                        ChannelOption.RCVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
+                                .maxMessagesPerRead(1))
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(32 * 1024, 64 * 1024))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
@@ -155,9 +165,15 @@
         return (InetSocketAddress) serverChannel.localAddress();
     }
 
-    /** Returns the node's counts since its start, by name. */
+    /** Returns the node's counts since its start and its present use of memory in bytes, by name. */
     public Map<String, Long> metrics() {
-        return runtime.metrics().asMap();
+        Map<String, Long> metrics = runtime.metrics().asMap();
+        MemoryBudget clientMemory = runtime.connectionManager().clientMemory();
+        metrics.put("client_memory", clientMemory.held());
+        metrics.put("client_memory_peak", clientMemory.peak());
+        metrics.put("client_memory_limit", clientMemory.limit());
+        metrics.put("direct_memory", DirectMemory.allocated());
+        return metrics;
     }
 
     /**
--- a/edge/src/main/java/thistlefall/edge/node/NodeDefinition.java
+++ b/edge/src/main/java/thistlefall/edge/node/NodeDefinition.java
@@ -17,6 +17,7 @@
  * @param listen the address that clients connect to
  * @param moduleSettings the settings of the decision module
  * @param limits the limits, none of them null
+ * @param clientMemoryLimit the memory for everything that clients make the node hold, in bytes
  * @param poolLimits the limits of each server's connection pool
  * @param probePath the path that probes request
  * @param dialect the HTTP conventions of the platform
@@ -30,6 +31,7 @@
         SocketAddress listen,
         Ports.Settings moduleSettings,
         LimitSettings limits,
+        long clientMemoryLimit,
         ServerConnectionPool.PoolLimits poolLimits,
         String probePath,
         Dialect dialect,
--- a/edge/src/main/java/thistlefall/edge/node/NodeMetrics.java
+++ b/edge/src/main/java/thistlefall/edge/node/NodeMetrics.java
@@ -26,6 +26,8 @@
     long serverListFailures;
     long malformedRequests;
     long idleConnectionsClosed;
+    long connectionsThatGaveWay;
+    long readingPaused;
     private final long[] refusedByCause = new long[FailureCause.values().length];
 
     NodeMetrics() {}
@@ -56,6 +58,8 @@
         map.put("list_failures", serverListFailures);
         map.put("unreadable", malformedRequests);
         map.put("idle_closed", idleConnectionsClosed);
+        map.put("gave_way", connectionsThatGaveWay);
+        map.put("reading_paused", readingPaused);
         for (FailureCause cause : FailureCause.values()) {
             if (refusedByCause[cause.ordinal()] > 0) {
                 map.put("refused_" + cause.code().replace('-', '_'), refusedByCause[cause.ordinal()]);
--- a/edge/src/main/java/thistlefall/edge/node/NodeRuntime.java
+++ b/edge/src/main/java/thistlefall/edge/node/NodeRuntime.java
@@ -5,6 +5,7 @@
 import org.slf4j.Logger;
 import thistlefall.Ports;
 import thistlefall.edge.settings.Defaults;
+import thistlefall.memory.MemoryBudget;
 import thistlefall.request.FailureCause;
 import thistlefall.request.RequestTracker;
 
@@ -56,7 +57,7 @@
                 nodeName, eventLoop, log, clock, timer, metrics, activeRequests, moduleSettings, serverPools, dialect);
         connectionManager = new ClientConnectionManager(
                 limits.maxConnections(),
-                new BufferBudget(limits.maxBody(), dialect.maxBufferedBodies()),
+                new MemoryBudget(definition.clientMemoryLimit()),
                 clock,
                 metrics,
                 activeRequests);
@@ -126,6 +127,7 @@
         clock.onTick(monotonicNow);
         resolver.onTick();
         activeRequests.expire(monotonicNow, executor::clientGone);
+        connectionManager.onTick();
     }
 
     /** Answers all open requests as refused or failed because the node is stopping. */
--- a/edge/src/main/java/thistlefall/edge/node/ProblemDetails.java
+++ b/edge/src/main/java/thistlefall/edge/node/ProblemDetails.java
@@ -95,6 +95,7 @@
             case TOKEN_UNKNOWN -> "the token could not be checked in time";
             case FULL -> "this gateway holds as many requests as it may";
             case PIPELINED -> "too many requests were sent at once on this connection";
+            case MEMORY -> "this gateway holds as much for its clients as it may";
             case STOPPING -> "this gateway is stopping";
             case OVERDUE -> "the request's time is up";
             case CRASHED -> "an error inside this gateway";
--- a/edge/src/main/java/thistlefall/edge/node/RequestBody.java
+++ b/edge/src/main/java/thistlefall/edge/node/RequestBody.java
@@ -1,14 +1,14 @@
 package thistlefall.edge.node;
 
 import io.netty.buffer.ByteBuf;
-import java.util.ArrayList;
-import java.util.List;
+import thistlefall.edge.http.Framing;
 import thistlefall.edge.http.HttpFields;
+import thistlefall.memory.MemoryBudget;
 
 /**
  * The body of a request. Pieces are forwarded as they arrive and also buffered for another attempt while they stay
- * within the replay limit. The buffer is bounded by that limit plus one read of the socket. Confined to the node's
- * event loop; sizes are in bytes.
+ * within the replay limit and the memory of the client's connection. Confined to the node's event loop; sizes are in
+ * bytes.
  */
 final class RequestBody {
     /** The receiver of a body. */
@@ -23,23 +23,20 @@
         boolean isWritable();
     }
 
-    /** Bodies up to this size are not counted in the budget, so that many large bodies cannot crowd out small ones. */
-    private static final int SMALL_BODY_BYTES = 4 * 1024;
-
     private final int replayLimit;
-    private final BufferBudget bufferBudget;
-    private final List<ByteBuf> bufferedPieces = new ArrayList<>(2);
-    private int bufferedBytes;
-    private long reservedBytes;
+    private final MemoryBudget.Account memory;
+    private final GrowingBuffer buffer;
     private boolean bufferDiscarded;
     private boolean released;
     private HttpFields trailers;
     private BodySink sink;
 
-    /** Creates a body that buffers up to {@code replayLimit} bytes, as far as the shared budget allows. */
-    RequestBody(int replayLimit, BufferBudget bufferBudget) {
+    /** Creates a body that buffers up to {@code replayLimit} bytes, as far as the connection's memory allows. */
+    RequestBody(Framing framing, int replayLimit, MemoryBudget.Account memory) {
         this.replayLimit = replayLimit;
-        this.bufferBudget = bufferBudget;
+        this.memory = memory;
+        boolean lengthKnown = framing.kind() == Framing.FramingKind.LENGTH && framing.length() <= replayLimit;
+        buffer = new GrowingBuffer(lengthKnown ? (int) framing.length() : 0);
     }
 
     boolean isComplete() {
@@ -48,14 +45,17 @@
 
     /** Returns the number of bytes buffered. */
     int bufferedBytes() {
-        return bufferedBytes;
+        return buffer.size();
+    }
+
+    /** Returns the memory that the buffered bytes take. */
+    int heldBytes() {
+        return buffer.capacity();
     }
 
     /** Copies all buffered bytes to {@code out}. */
     void copyTo(ByteBuf out) {
-        for (ByteBuf piece : bufferedPieces) {
-            out.writeBytes(piece, piece.readerIndex(), piece.readableBytes());
-        }
+        buffer.copyTo(out);
     }
 
     /** Whether everything received so far is still buffered for another attempt. */
@@ -65,7 +65,7 @@
 
     /** Whether more should be read from the client. */
     boolean needsMoreInput() {
-        return sink != null ? sink.isWritable() : bufferedBytes < replayLimit;
+        return sink != null ? sink.isWritable() : buffer.size() < replayLimit;
     }
 
     /** Adds a piece and takes ownership of it; returns false if it can be neither buffered nor forwarded. */
@@ -74,17 +74,15 @@
             piece.release();
             return true;
         }
-        if (!bufferDiscarded && !tryReserve(piece.readableBytes())) {
+        if (!bufferDiscarded && !memory.tryGrow(buffer.growthFor(piece.readableBytes()))) {
             if (sink == null) {
                 piece.release();
                 return false;
             }
-            bufferDiscarded = true;
-            releaseBuffered();
+            discardBuffer();
         }
         if (!bufferDiscarded) {
-            bufferedPieces.add(piece.retainedDuplicate());
-            bufferedBytes += piece.readableBytes();
+            buffer.append(piece);
         }
         if (sink != null) {
             sink.writePiece(piece);
@@ -95,16 +93,6 @@
         return true;
     }
 
-    private boolean tryReserve(int additionalBytes) {
-        if (bufferedBytes + additionalBytes <= SMALL_BODY_BYTES) {
-            return true;
-        }
-        long unreservedBytes = bufferedBytes + additionalBytes - reservedBytes;
-        boolean reserved = bufferBudget.tryReserve(reservedBytes, unreservedBytes);
-        reservedBytes += reserved ? unreservedBytes : 0;
-        return reserved;
-    }
-
     void complete(HttpFields receivedTrailers) {
         trailers = receivedTrailers;
         if (sink != null) {
@@ -115,8 +103,9 @@
     /** Sends everything buffered, and everything received from now on, to a sink. */
     void attach(BodySink newSink) {
         sink = newSink;
-        for (ByteBuf piece : bufferedPieces) {
-            newSink.writePiece(piece.retainedDuplicate());
+        ByteBuf bufferedCopy = buffer.copy();
+        if (bufferedCopy != null) {
+            newSink.writePiece(bufferedCopy);
         }
         discardIfTooLong();
         if (isComplete()) {
@@ -129,23 +118,19 @@
     }
 
     private void discardIfTooLong() {
-        if (bufferedBytes > replayLimit && !bufferDiscarded) {
-            bufferDiscarded = true;
-            releaseBuffered();
+        if (buffer.size() > replayLimit && !bufferDiscarded) {
+            discardBuffer();
         }
     }
 
-    private void releaseBuffered() {
-        bufferedPieces.forEach(ByteBuf::release);
-        bufferedPieces.clear();
-        bufferedBytes = 0;
-        bufferBudget.release(reservedBytes);
-        reservedBytes = 0;
+    private void discardBuffer() {
+        bufferDiscarded = true;
+        buffer.release();
     }
 
     void release() {
         released = true;
         sink = null;
-        releaseBuffered();
+        buffer.release();
     }
 }
--- a/edge/src/main/java/thistlefall/edge/node/RequestContext.java
+++ b/edge/src/main/java/thistlefall/edge/node/RequestContext.java
@@ -1,11 +1,15 @@
 package thistlefall.edge.node;
 
 import thistlefall.edge.http.MessageHead;
+import thistlefall.memory.MemoryBudget;
 import thistlefall.request.RequestTracker;
 import thistlefall.token.TokenKey;
 
 /** The state of one client request, from its head to the end of its response. Confined to the node's event loop. */
 final class RequestContext {
+    /** What the objects of a request take on the heap beside its head and its body. */
+    private static final long HEAP_OVERHEAD_BYTES = 512;
+
     final ClientConnection clientConnection;
     final MessageHead.RequestHead head;
     final RequestBody body;
@@ -39,10 +43,21 @@
             MessageHead.RequestHead head,
             long arrivedAt,
             int replayLimit,
-            BufferBudget bufferBudget) {
+            MemoryBudget.Account memory) {
         this.clientConnection = clientConnection;
         this.head = head;
         this.arrivedAt = arrivedAt;
-        body = new RequestBody(replayLimit, bufferBudget);
+        body = new RequestBody(head.framing(), replayLimit, memory);
+    }
+
+    /** Returns the memory that a request takes without its body, in bytes. */
+    static long heldBytesWithoutBody(MessageHead.RequestHead head) {
+        return HEAP_OVERHEAD_BYTES + head.fields().heldBytes();
+    }
+
+    /** Returns the memory that the request and its current attempt take, in bytes. */
+    long heldBytes() {
+        long attemptBytes = currentAttempt == null ? 0 : currentAttempt.heldBytes();
+        return heldBytesWithoutBody(head) + body.heldBytes() + attemptBytes;
     }
 }
--- a/edge/src/main/java/thistlefall/edge/node/RequestPipeline.java
+++ b/edge/src/main/java/thistlefall/edge/node/RequestPipeline.java
@@ -1,6 +1,7 @@
 package thistlefall.edge.node;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.List;
 
 /**
@@ -13,6 +14,8 @@
     private final long maxBufferedBytes;
     private final ArrayDeque<RequestContext> requests = new ArrayDeque<>();
     private int surplusCount;
+    /** The surplus requests with no request before them: their refusals are the next responses. */
+    private int dueRefusals;
 
     /**
      * An empty pipeline. It is full with more than {@code maxRequests} requests, or if all but a single request buffer
@@ -23,8 +26,14 @@
         this.maxBufferedBytes = maxBufferedBytes;
     }
 
+    /** Whether no request awaits a response, surplus ones included. */
     boolean isEmpty() {
-        return requests.isEmpty();
+        return requests.isEmpty() && surplusCount == 0;
+    }
+
+    /** Returns the number of requests, surplus ones excepted. */
+    int size() {
+        return requests.size();
     }
 
     /** Returns the request whose response is next; null if there is none. */
@@ -36,10 +45,27 @@
         requests.addLast(requestContext);
     }
 
-    /** Counts one surplus request behind the last request; the pipeline must not be empty. */
+    /** Counts one surplus request behind the last request. */
     void addSurplus() {
-        requests.getLast().surplusRequestsBehind++;
         surplusCount++;
+        if (requests.isEmpty()) {
+            dueRefusals++;
+        } else {
+            requests.getLast().surplusRequestsBehind++;
+        }
+    }
+
+    /** Returns how many refusals of surplus requests are the next responses. */
+    int dueRefusals() {
+        return dueRefusals;
+    }
+
+    /** Removes the surplus requests whose refusals are the next responses, and returns their number. */
+    int removeDueRefusals() {
+        int removed = dueRefusals;
+        surplusCount -= removed;
+        dueRefusals = 0;
+        return removed;
     }
 
     /** Returns the number of surplus requests that await their refusals. */
@@ -47,11 +73,30 @@
         return surplusCount;
     }
 
-    /** Removes the first request and returns the number of surplus requests directly behind it. */
-    int removeFirst() {
-        int surplusBehind = requests.removeFirst().surplusRequestsBehind;
-        surplusCount -= surplusBehind;
-        return surplusBehind;
+    /** Removes the first request; the refusals of surplus requests directly behind it are due now. */
+    void removeFirst() {
+        dueRefusals += requests.removeFirst().surplusRequestsBehind;
+    }
+
+    /**
+     * Makes surplus requests of all complete requests that follow another one and have not been dispatched. Returns
+     * the removed requests; the caller releases their bodies.
+     */
+    List<RequestContext> convertWaitingToSurplus() {
+        List<RequestContext> converted = new ArrayList<>();
+        RequestContext kept = null;
+        for (RequestContext requestContext : List.copyOf(requests)) {
+            if (kept == null || requestContext.resolutionStarted || !requestContext.body.isComplete()) {
+                kept = requestContext;
+            } else {
+                kept.surplusRequestsBehind += 1 + requestContext.surplusRequestsBehind;
+                requestContext.surplusRequestsBehind = 0;
+                surplusCount++;
+                requests.remove(requestContext);
+                converted.add(requestContext);
+            }
+        }
+        return converted;
     }
 
     /** Removes the request that is still being received; there are no surplus requests behind it. */
@@ -64,6 +109,7 @@
         List<RequestContext> removed = List.copyOf(requests);
         requests.clear();
         surplusCount = 0;
+        dueRefusals = 0;
         return removed;
     }
 
@@ -77,6 +123,15 @@
         return requests.size() > 1 && bufferedBytes() > maxBufferedBytes;
     }
 
+    /** Returns the memory that all requests take. */
+    long heldBytes() {
+        long total = 0;
+        for (RequestContext requestContext : requests) {
+            total += requestContext.heldBytes();
+        }
+        return total;
+    }
+
     private long bufferedBytes() {
         long total = 0;
         for (RequestContext requestContext : requests) {
--- a/edge/src/main/java/thistlefall/edge/node/StandaloneNodeDefinition.java
+++ b/edge/src/main/java/thistlefall/edge/node/StandaloneNodeDefinition.java
@@ -47,6 +47,7 @@
                         settings.listen().host(), settings.listen().port()),
                 Defaults.moduleSettings(settings),
                 Defaults.limits(settings),
+                DirectMemory.limitForClients(),
                 poolLimits,
                 serverSettings.probePath() == null ? "/health" : serverSettings.probePath(),
                 new BearerDialect(),
--- a/edge/src/test/java/thistlefall/edge/http/RequestDecoderTest.java
+++ b/edge/src/test/java/thistlefall/edge/http/RequestDecoderTest.java
@@ -18,6 +18,24 @@
 class RequestDecoderTest {
     private static final HttpLimits SMALL = new HttpLimits(200, 600, 8, 1000);
 
+    /** The start of a request must not keep the whole buffer that the socket was read into. */
+    @Test
+    void incompleteRequestTakesOnlyItsOwnSize() {
+        var decoder = new RequestDecoder(SMALL);
+        var channel = new EmbeddedChannel(decoder);
+        String start = "GET / HTTP/1.1\r\nHost: a";
+        ByteBuf read = channel.alloc().buffer(64 * 1024);
+        for (int i = 0; i < 1_000; i++) {
+            read.writeCharSequence("GET / HTTP/1.1\r\nHost: a\r\n\r\n", StandardCharsets.US_ASCII);
+        }
+        read.writeCharSequence(start, StandardCharsets.US_ASCII);
+        channel.writeInbound(read);
+        assertTrue(decoder.undecodedBytes() <= 2 * start.length(), "takes " + decoder.undecodedBytes());
+        channel.writeInbound(Unpooled.copiedBuffer("b\r\n\r\n", StandardCharsets.US_ASCII));
+        assertEquals(0, decoder.undecodedBytes());
+        assertEquals(2_002, channel.inboundMessages().size());
+    }
+
     /** Decodes the text and describes each decoded message; a seed other than 0 splits the input into random pieces. */
     static List<String> decode(String text, HttpLimits limits, long seed) {
         var channel = new EmbeddedChannel(new RequestDecoder(limits));
