--- a/review/src-2/Scene.java
+++ b/review/src-2/Scene.java
@@ -172,7 +172,7 @@
     /** Sends a signal to a process of the node. */
     void signal(Node node, String name) throws Exception {
         note("SIG" + name + " to process " + node.process().pid());
-        new ProcessBuilder("kill", "-" + name, Long.toString(node.process().pid())).start().waitFor();
+        new ProcessBuilder("/bin/sh", "-c", "kill -" + name + " " + node.process().pid()).start().waitFor();
     }
 
     private void checkNodesAlive() {
