A request is owed a response from its first byte on, whatever closes its connection

Cause: three places asked by themselves whether a connection still owed something, and all counted requests that were complete or dispatched. A request between its first and its last byte counted nowhere. Evidence: the kept connection ended at the signal and the new one at the end of the accepting phase, which are the moments at which idle connections are closed. By the same count a connection with half a head was closed as idle at the limit of connections, and a response announced the close with half a request behind it.

Change: ConnectionLifecycle states the rule, ClientConnection.owedResponses is the only count, and the announcement of the close, the shutdown of the output, idleness and the end of the process derive from it. What is incomplete at the end of the drain is refused.

--- a/core/src/main/java/thistlefall/lifecycle/ConnectionLifecycle.java
+++ b/core/src/main/java/thistlefall/lifecycle/ConnectionLifecycle.java
@@ -4,8 +4,13 @@
  * Decides how a client connection ends: whether further requests are accepted, which response announces the close, and
  * when the output is shut. A connection is ended by shutting its output and then reading and discarding until the
  * client has closed too (RFC 9112 section 9.6). Closing it at once would reset it while received bytes are unread, and
- * the client could lose its last response. A request that is read after the output was shut can't be answered and is
- * never accepted.
+ * the client could lose its last response.
+ *
+ * <p>A request is owed a response from the moment at which its first byte was read, whatever ends the connection: a
+ * shutdown of the node, the idle timeout, the limit of connections, or the last request of the client. Unless a
+ * response has announced the close, the connection stays open until every owed response is complete. What is read after
+ * the output was shut is never accepted; the client sends it again on a new connection. A client that ends its own
+ * output counts as gone and is owed nothing.
  *
  * <p>Not thread-safe.
  */
@@ -31,7 +36,7 @@
     }
 
     /**
-     * Requests that the connection ends after the responses to all accepted requests, or at once if there are none.
+     * Requests that the connection ends after all responses that it owes, or at once if there are none.
      */
     public void beginClose() {
         closeRequested = true;
@@ -46,21 +51,21 @@
      * Records that a response begins.
      *
      * @param mustClose whether no response can follow: the client asked for it, or its request is incomplete
-     * @param laterRequests complete requests of this connection that still need their responses after this one
+     * @param laterOwedResponses responses that this connection still owes after this one
      * @return whether the response must announce that the connection closes
      */
-    public boolean announcesClose(boolean mustClose, int laterRequests) {
-        closeAnnounced |= mustClose || closeRequested && laterRequests == 0;
+    public boolean announcesClose(boolean mustClose, int laterOwedResponses) {
+        closeAnnounced |= mustClose || closeRequested && laterOwedResponses == 0;
         return closeAnnounced;
     }
 
     /**
      * Returns whether the output must be shut now; if so, it counts as shut from then on.
      *
-     * @param outstandingResponses accepted requests whose response is not complete
+     * @param owedResponses responses to requests of which at least one byte was read, that are not complete
      */
-    public boolean shouldShutOutput(int outstandingResponses) {
-        boolean shutNow = !outputShut && (closeAnnounced || closeRequested && outstandingResponses == 0);
+    public boolean shouldShutOutput(int owedResponses) {
+        boolean shutNow = !outputShut && (closeAnnounced || closeRequested && owedResponses == 0);
         outputShut |= shutNow;
         return shutNow;
     }
--- a/edge/src/main/java/thistlefall/edge/http/MessageDecoder.java
+++ b/edge/src/main/java/thistlefall/edge/http/MessageDecoder.java
@@ -56,9 +56,11 @@
     /** Parses the head from the block that the parser has just read. */
     abstract MessageHead parseHead(HeadParser parser) throws MalformedMessageException;
 
-    /** Whether the last message is complete and no byte of another has arrived. */
+    /** Whether the last message is complete and no byte of another has arrived, decoded or not. */
     public final boolean isIdle() {
-        return state == DecoderState.HEAD && !headParser.hasStarted();
+        return state == DecoderState.HEAD
+                && !headParser.hasStarted()
+                && !internalBuffer().isReadable();
     }
 
     @Override
--- a/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
@@ -11,6 +11,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.function.Consumer;
 import thistlefall.edge.http.BodyEnd;
@@ -60,6 +61,11 @@
     private boolean receiveTimerActive;
     private long openedAt;
     private boolean anyRequestCompleted;
+    /** Whether it owes no response; the manager and the idle timer know. */
+    private boolean idle;
+    /** Whether the connection is to end after its next response and has had no request yet. */
+    private boolean awaitsFirstRequest;
+
     private long undecodedBytes;
     private TimingWheel.ScheduledTimeout<Runnable> receiveTimer;
     private TimingWheel.ScheduledTimeout<Runnable> idleTimer;
@@ -86,7 +92,7 @@
     public void handlerAdded(ChannelHandlerContext context) {
         channel = context.channel();
         openedAt = System.nanoTime();
-        startIdleTimer();
+        updateIdle();
     }
 
     @Override
@@ -111,8 +117,7 @@
         if (!dialect.buffersRequests()) {
             timer.cancel(receiveTimer);
         }
-        timer.cancel(idleTimer);
-        connectionManager.setIdle(this, false);
+        endIdle();
         if (refusesSurplus() && pendingRequests.isFull()) {
             receivingSurplus = new SurplusRequest(head, FailureCause.PIPELINED);
             return;
@@ -206,14 +211,14 @@
             return;
         }
         int count = pendingRequests.removeDueRefusals();
-        int laterResponses = pendingRequests.pendingResponseCount();
+        int laterResponses = owedResponses();
         boolean lastRequest = laterResponses == 0 && !lifecycle.acceptsRequests();
         boolean announcesClose = lifecycle.announcesClose(lastRequest, laterResponses);
         channel.writeAndFlush(SurplusRefusals.encode(channel.alloc(), count, announcesClose));
         startWriteStallTimer();
         responseBytesWritten();
-        if (!shutOutputIfFinished() && pendingRequests.isEmpty()) {
-            startIdleTimer();
+        if (!shutOutputIfFinished()) {
+            updateIdle();
         }
     }
 
@@ -228,7 +233,6 @@
         boolean partiallyReceived = isPartiallyReceived();
         if (partiallyReceived && !receiveTimerActive) {
             receiveTimerActive = true;
-            timer.cancel(idleTimer);
             receiveTimer = timer.schedule(receiveTimeoutNanos(), () -> {
                 receiveTimerActive = false;
                 if (isPartiallyReceived()) {
@@ -239,6 +243,10 @@
         } else if (!partiallyReceived && receiveTimerActive) {
             cancelReceiveTimer();
         }
+        // What was read may have been nothing but an empty line, so that nothing is owed after all.
+        if (awaitsFirstRequest || !shutOutputIfFinished()) {
+            updateIdle();
+        }
     }
 
     private void updateUndecodedBytes() {
@@ -398,14 +406,28 @@
         }
     }
 
-    /** Whether a response is pending or not yet fully written to the socket. */
+    /** Whether a response is owed or not yet fully written to the socket. */
     boolean isBusy() {
-        return pendingRequests.pendingResponseCount() > 0 || hasUnsentBytes();
+        return owedResponses() > 0 || hasUnsentBytes();
+    }
+
+    /** Returns the number of responses that this connection owes; {@link ConnectionLifecycle} says from when on. */
+    private int owedResponses() {
+        if (lifecycle.outputShut()) {
+            return 0;
+        }
+        return pendingRequests.pendingResponseCount() + (owesResponseOutsidePipeline() ? 1 : 0);
+    }
+
+    /** Whether a response is owed to an incomplete head, an incomplete surplus request or a malformed message. */
+    private boolean owesResponseOutsidePipeline() {
+        boolean incompleteHead = receivingRequest == null && lifecycle.acceptsRequests() && !decoder.isIdle();
+        return decodeError != null || receivingSurplus != null || incompleteHead;
     }
 
     /** Whether the response to the first pending request must announce that the connection closes after it. */
     private boolean announcesClose(boolean required) {
-        return lifecycle.announcesClose(required, Math.max(0, pendingRequests.pendingResponseCount() - 1));
+        return lifecycle.announcesClose(required, Math.max(0, owedResponses() - 1));
     }
 
     /** Sends {@code 100 Continue} if the client waits for it before sending the body. */
@@ -532,16 +554,14 @@
         if (shutOutputIfFinished()) {
             return;
         }
-        if (pendingRequests.isEmpty()) {
-            startIdleTimer();
-        }
+        updateIdle();
         dispatchPending();
         updateAutoRead();
     }
 
-    /** Shuts the output if the connection is closing and no response is pending; returns whether it did. */
+    /** Shuts the output if the connection is closing and no response is owed; returns whether it did. */
     private boolean shutOutputIfFinished() {
-        boolean shouldShut = lifecycle.shouldShutOutput(pendingRequests.pendingResponseCount());
+        boolean shouldShut = lifecycle.shouldShutOutput(owedResponses());
         if (shouldShut) {
             shutOutput();
         }
@@ -554,6 +574,7 @@
         timer.cancel(idleTimer);
         pendingRequests.removeAll().forEach(pendingRequest -> pendingRequest.body.release());
         receivingRequest = null;
+        receivingSurplus = null;
         connectionManager.startLingering(this);
         updateAutoRead();
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((ChannelFutureListener) writeFuture -> {
@@ -564,15 +585,22 @@
         });
     }
 
-    private void startIdleTimer() {
+    /** Marks the connection as idle, and starts its idle timer, once it owes no response; or ends that. */
+    private void updateIdle() {
+        if (owedResponses() > 0 || lifecycle.outputShut()) {
+            endIdle();
+        } else if (!idle) {
+            idle = true;
+            connectionManager.setIdle(this, true);
+            Duration idleTimeout = anyRequestCompleted ? limits.idleTimeout() : limits.firstTimeout();
+            idleTimer = timer.schedule(idleTimeout.toNanos(), this::closeAfterPendingResponses);
+        }
+    }
+
+    private void endIdle() {
+        idle = false;
+        connectionManager.setIdle(this, false);
         timer.cancel(idleTimer);
-        connectionManager.setIdle(this, true);
-        idleTimer =
-                timer.schedule((anyRequestCompleted ? limits.idleTimeout() : limits.firstTimeout()).toNanos(), () -> {
-                    if (pendingRequests.isEmpty()) {
-                        closeAfterPendingResponses();
-                    }
-                });
     }
 
     /** Closes the connection if the client reads nothing for the write stall timeout. */
@@ -620,17 +648,28 @@
     /** Closes the connection after its next response; one that has had a request and is idle now closes at once. */
     void closeAfterNextResponse() {
         lifecycle.beginClose();
+        awaitsFirstRequest = !anyRequestCompleted;
         if (anyRequestCompleted) {
             shutOutputIfFinished();
         }
     }
 
-    /** Closes the connection after all pending responses. */
+    /** Closes the connection after all responses that it owes. */
     void closeAfterPendingResponses() {
         lifecycle.beginClose();
+        awaitsFirstRequest = false;
         shutOutputIfFinished();
     }
 
+    /** Refuses what is only partly received, and closes the connection after the responses to earlier requests. */
+    void refuseIncompleteRequest() {
+        closeAfterPendingResponses();
+        if (decodeError == null && (receivingRequest != null || owesResponseOutsidePipeline())) {
+            decodeError = new MalformedMessageException(503, "the node stops before the request is complete");
+            handleDecodeError();
+        }
+    }
+
     void close() {
         channel.close();
     }
--- a/edge/src/main/java/thistlefall/edge/node/ClientConnectionManager.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientConnectionManager.java
@@ -138,7 +138,7 @@
         return openConnections.size() + lingeringConnections.size();
     }
 
-    /** Returns the number of connections with a response that is pending or not fully written. */
+    /** Returns the number of connections with a response that is owed or not fully written. */
     int busyConnections() {
         return (int) Stream.concat(openConnections.stream(), lingeringConnections.stream())
                 .filter(ClientConnection::isBusy)
@@ -253,12 +253,17 @@
         List.copyOf(openConnections).forEach(ClientConnection::closeAfterNextResponse);
     }
 
-    /** Refuses new requests and connections from now on and closes connections after their pending responses. */
+    /** Refuses new requests and connections from now on and closes connections after the responses that they owe. */
     void drain() {
         draining = true;
         List.copyOf(openConnections).forEach(ClientConnection::closeAfterPendingResponses);
     }
 
+    /** Refuses the requests that are still incomplete at the end of the drain. */
+    void refuseIncompleteRequests() {
+        List.copyOf(openConnections).forEach(ClientConnection::refuseIncompleteRequest);
+    }
+
     void close() {
         draining = true;
         List.copyOf(openConnections).forEach(ClientConnection::close);
--- a/edge/src/main/java/thistlefall/edge/node/NodeRuntime.java
+++ b/edge/src/main/java/thistlefall/edge/node/NodeRuntime.java
@@ -130,9 +130,10 @@
         connectionManager.onTick();
     }
 
-    /** Answers all open requests as refused or failed because the node is stopping. */
+    /** Answers all open and incomplete requests as refused or failed because the node is stopping. */
     void respondToOpenRequests() {
         activeRequests.respondToAllOpen(FailureCause.STOPPING);
+        connectionManager.refuseIncompleteRequests();
     }
 
     /** Closes everything as a crash would, without sending any responses. */
--- a/edge/src/main/java/thistlefall/edge/node/RequestPipeline.java
+++ b/edge/src/main/java/thistlefall/edge/node/RequestPipeline.java
@@ -140,14 +140,8 @@
         return total;
     }
 
-    /** Returns the number of dispatched or completely received requests whose responses are not complete. */
+    /** Returns the number of requests, complete or not, whose responses are not complete; surplus ones included. */
     int pendingResponseCount() {
-        int pending = surplusCount;
-        for (RequestContext requestContext : requests) {
-            if (requestContext.resolutionStarted || requestContext.body.isComplete()) {
-                pending++;
-            }
-        }
-        return pending;
+        return requests.size() + surplusCount;
     }
 }
