An attempt is sent only if what allowed it still holds directly before its first byte

Cause: the window of the key was compared with the time of the decision; the attempt then waited for its connection, as long as the connect timeout allows, and nothing asked again. Evidence: the record has the 500 in time and the write at the moment at which the backlog frees up; without the late connection the second attempt is dropped as a repeat. On the same path a request that waited for a server that drained, restarted or moved to another cell was still sent there or held until the connect timeout, and the cell of a key was looked up by the server's present entry.

Change: the module states with each attempt until when it may be sent (SendDeadlines) and withdraws unsent attempts from servers that the list changes; the host asks one SendPermission directly before the first byte. Repeats are logged with the ids of both sides ("sent again").

--- a/bench/src/main/java/thistlefall/bench/ModuleBench.java
+++ b/bench/src/main/java/thistlefall/bench/ModuleBench.java
@@ -168,10 +168,13 @@
     }
 
     @Override
-    public void send(String id, String server, long patience) {
+    public void send(String id, String server, long patience, long latestSendTime) {
         lastServer = server;
     }
 
+    @Override
+    public void withdraw(String id) {}
+
     @Override
     public void refuse(String id, long retryAfter, Reason reason) {
         throw new IllegalStateException("refused");
--- a/core/src/main/java/thistlefall/Gateway.java
+++ b/core/src/main/java/thistlefall/Gateway.java
@@ -26,6 +26,7 @@
 import thistlefall.Ports.Result;
 import thistlefall.Ports.Server;
 import thistlefall.Ports.Settings;
+import thistlefall.attempt.SendDeadlines;
 import thistlefall.lease.CeilingLease;
 import thistlefall.lease.LeaseParameters;
 import thistlefall.lease.LeaseWaitQueue;
@@ -197,6 +198,7 @@
                     .filter(server -> !listedIds.contains(server.id))
                     .forEach(server -> server.ready = false);
         }
+        List<ServerState> unusableServers = new ArrayList<>();
         for (Server entry : entries) {
             ServerState existing = servers.get(entry.id());
             boolean isNew = existing == null || existing.entry.startedAt() != entry.startedAt();
@@ -205,9 +207,15 @@
             }
             ServerState server = isNew ? new ServerState(entry) : existing;
             servers.put(entry.id(), server);
+            boolean moved = server.entry.zone() != entry.zone() || server.entry.cell() != entry.cell();
             server.entry = entry;
             server.ready = entry.readiness() == Readiness.READY;
+            if (existing != null && (isNew || moved)) {
+                unusableServers.add(existing);
+            }
         }
+        servers.values().stream().filter(server -> !server.ready).forEach(unusableServers::add);
+        unusableServers.forEach(ServerState::withdrawUnsentAttempts);
         readyServers = servers.values().stream().filter(server -> server.ready).toList();
         if (now - serversSweptAt > FORGET_AFTER) {
             // If the fleet is replaced every hour, its old servers must not stay in memory for months.
@@ -292,7 +300,7 @@
         }
         if (!result.outcome().provesNeverRan() && pendingRequest.possibleRunSentAt == 0) {
             pendingRequest.possibleRunSentAt = pendingRequest.sentAt;
-            pendingRequest.possibleRunServer = server;
+            pendingRequest.possibleRunServer = pendingRequest.sentTo;
         }
         if (result.responseComplete() || pendingRequest.abandoned) {
             finishRequest(pendingRequest);
@@ -726,10 +734,12 @@
         private int attemptCount;
         private ServerState server;
         private long sentAt;
+        /** The list entry of its server when the attempt was decided on; the server may be listed otherwise later. */
+        private Server sentTo;
         /** When the first attempt that may have run was sent; 0 if there is none. */
         private long possibleRunSentAt;
         /** The server of that attempt. */
-        private ServerState possibleRunServer;
+        private Server possibleRunServer;
 
         PendingRequest(Request request, CustomerState customer, ClassQueue classQueue) {
             this.request = request;
@@ -778,6 +788,24 @@
             return Math.min(arrivedAt + classQueue.requestClass.aim(), request.deadline());
         }
 
+        /**
+         * Returns whether an earlier attempt may have run and a key keeps a further one from running again until
+         * {@link #keyWindowEnd}.
+         */
+        boolean isKeyedRepeat() {
+            return possibleRunSentAt > 0 && classQueue.requestClass.repeat() == Repeat.KEYED;
+        }
+
+        /** Returns when a repeat with its key may run again, less one timer interval. */
+        long keyWindowEnd() {
+            return possibleRunSentAt + classQueue.requestClass.keyWindow() - TIMER_INTERVAL;
+        }
+
+        /** Returns when an attempt is given up: at the aim if a late response is worth nothing, else the deadline. */
+        long giveUpTime() {
+            return classQueue.requestClass.lateValue() <= 0 ? aimDeadline() : request.deadline();
+        }
+
         /**
          * Whether the plan's limit on requests in flight allows it. The number of requests in flight at other gateways
          * is unknown, so the limit is divided equally among the gateways, and each may have at least one.
@@ -1399,12 +1427,17 @@
         }
 
         boolean inGroupOf(PendingRequest pendingRequest) {
-            Server originalEntry = pendingRequest.possibleRunServer.entry;
+            Server originalEntry = pendingRequest.possibleRunServer;
             return pendingRequest.classQueue.requestClass.group() == Group.ZONE
                     ? entry.zone() == originalEntry.zone()
                     : entry.cell() == originalEntry.cell();
         }
 
+        /** Has the host take back the attempts of which no byte was sent yet; they are sent to other servers. */
+        void withdrawUnsentAttempts() {
+            List.copyOf(outstanding).forEach(pendingRequest -> host.withdraw(pendingRequest.request.id()));
+        }
+
         /**
          * Returns the expected response time relative to the usual one, adjusted by the reported load and increased for
          * attempts outstanding here, for errors and, by 5 %, for another zone; the lowest score is the best.
@@ -1501,9 +1534,7 @@
     /** The candidate that should respond soonest; null if none may be used now. */
     private ServerState chooseServer(PendingRequest pendingRequest) {
         RequestClass requestClass = pendingRequest.classQueue.requestClass;
-        boolean groupOnly = pendingRequest.possibleRunSentAt > 0
-                && requestClass.repeat() == Repeat.KEYED
-                && requestClass.group() != Group.ALL;
+        boolean groupOnly = pendingRequest.isKeyedRepeat() && requestClass.group() != Group.ALL;
         ServerState bestServer = null;
         double bestScore = Double.MAX_VALUE;
         for (ServerState candidate : candidates(pendingRequest, groupOnly)) {
@@ -1546,23 +1577,26 @@
         pendingRequest.attemptCount++;
         pendingRequest.server = server;
         pendingRequest.sentAt = now;
+        pendingRequest.sentTo = server.entry;
         server.outstanding.add(pendingRequest);
         inFlight++;
         if (inFlight >= controller.concurrencyLevel) {
             controller.levelReached = true;
         }
-        host.send(pendingRequest.request.id(), server.id, attemptTimeout(pendingRequest));
+        long timeout = Math.max(MILLISECOND, pendingRequest.giveUpTime() - now);
+        host.send(pendingRequest.request.id(), server.id, timeout, latestSendTime(pendingRequest, server));
     }
 
-    /**
-     * Returns the timeout of an attempt: the time until the aim if a late response is worth nothing, otherwise the time
-     * until the client's deadline; at least one millisecond.
-     */
-    private long attemptTimeout(PendingRequest pendingRequest) {
-        long giveUpAt = pendingRequest.classQueue.requestClass.lateValue() <= 0
-                ? pendingRequest.aimDeadline()
-                : pendingRequest.request.deadline();
-        return Math.max(MILLISECOND, giveUpAt - now);
+    /** Returns until when this attempt may be sent: what has allowed it may end while it waits for a connection. */
+    private long latestSendTime(PendingRequest pendingRequest, ServerState server) {
+        long latest = pendingRequest.giveUpTime();
+        if (pendingRequest.isKeyedRepeat()) {
+            latest = Math.min(latest, SendDeadlines.forRepeatWithinKeyWindow(now, pendingRequest.keyWindowEnd()));
+        }
+        if (server.isCold()) {
+            latest = Math.min(latest, SendDeadlines.forColdServer(now, settings.rules()));
+        }
+        return latest;
     }
 
     /** Starts another attempt after one that did not finish the request, or gives the final response. */
@@ -1570,8 +1604,7 @@
         RequestClass requestClass = pendingRequest.classQueue.requestClass;
         boolean repeatAllowed = pendingRequest.possibleRunSentAt == 0
                 || requestClass.repeat() == Repeat.SAFE
-                || requestClass.repeat() == Repeat.KEYED
-                        && now - pendingRequest.possibleRunSentAt + TIMER_INTERVAL < requestClass.keyWindow();
+                || requestClass.repeat() == Repeat.KEYED && now < pendingRequest.keyWindowEnd();
         boolean enoughTime =
                 now + (long) (pendingRequest.classQueue.serviceTime * SECOND / 2) < pendingRequest.aimDeadline();
         double tokenCost = neverRan ? 0 : 1;
--- a/core/src/main/java/thistlefall/Ports.java
+++ b/core/src/main/java/thistlefall/Ports.java
@@ -293,8 +293,15 @@
 
     /** The actions that the module calls on its host; each takes effect immediately. */
     public interface Actions {
-        /** Starts an attempt and ends it if there is no response within {@code timeout}. */
-        void send(String id, String server, long timeout);
+        /**
+         * Starts an attempt and ends it if there is no response within {@code timeout}. What the decision relied on
+         * holds until {@code latestSendTime}, a time of the clock of the events: the attempt may wait for a connection,
+         * but where it is not sent by then, it ends as one that never ran.
+         */
+        void send(String id, String server, long timeout, long latestSendTime);
+
+        /** Ends an attempt of which no byte was sent as {@link Outcome#NOT_SENT}; any other goes on. */
+        void withdraw(String id);
 
         /** Final response: refused, and a repeat is harmless; {@code retryAfter} 0 means no advice on when to retry. */
         void refuse(String id, long retryAfter, Reason reason);
--- a/core/src/main/java/thistlefall/attempt/EndReason.java
+++ b/core/src/main/java/thistlefall/attempt/EndReason.java
@@ -17,10 +17,13 @@
     CLOSED,
     /** The received bytes are not a valid response of the protocol. */
     GARBLED,
-    /** The timeout of the attempt or the deadline of the request passed. */
+    /** The timeout of the attempt, the latest time for sending it or the deadline of the request passed. */
     OVERDUE,
-    /** The host cancelled the attempt: the client left, or sent a broken body. */
+    /** The attempt was cancelled: the client left or sent a broken body, or the server drains, is gone or replaced. */
     WITHDRAWN,
-    /** The host did not send the attempt: the token expired, the body cannot be sent again, or the node stops. */
+    /**
+     * The host did not send the attempt: it may not be sent any more, the token expired, the body cannot be sent again,
+     * or the node stops.
+     */
     NOT_STARTED
 }
--- a/core/src/test/java/thistlefall/RecordingHost.java
+++ b/core/src/test/java/thistlefall/RecordingHost.java
@@ -31,13 +31,14 @@
     /** A plan without quota, limit on requests in flight, or ceiling. */
     static final Plan UNLIMITED = new Plan(0, 0, 0, 1, 0, 0, 0, 0, 0);
 
-    record SentAttempt(String id, String server, long timeout) {}
+    record SentAttempt(String id, String server, long timeout, long latestSendTime) {}
 
     record CounterAddition(long name, double amount) {}
 
     final List<SentAttempt> sentAttempts = new ArrayList<>();
     final List<String> refusedIds = new ArrayList<>();
     final List<String> failedIds = new ArrayList<>();
+    final List<String> withdrawnIds = new ArrayList<>();
     final List<String> probedServers = new ArrayList<>();
     final List<CounterAddition> counterCalls = new ArrayList<>();
     final List<String> logLines = new ArrayList<>();
@@ -140,8 +141,13 @@
     }
 
     @Override
-    public void send(String id, String server, long timeout) {
-        sentAttempts.add(new SentAttempt(id, server, timeout));
+    public void send(String id, String server, long timeout, long latestSendTime) {
+        sentAttempts.add(new SentAttempt(id, server, timeout, latestSendTime));
+    }
+
+    @Override
+    public void withdraw(String id) {
+        withdrawnIds.add(id);
     }
 
     @Override
--- a/drill/src/main/java/thistlefall/drill/WireWriter.java
+++ b/drill/src/main/java/thistlefall/drill/WireWriter.java
@@ -39,7 +39,8 @@
         }
 
         @Override
-        public void send(String id, String server, long timeoutNanos) {
+        public void send(String id, String server, long timeoutNanos, long latestSendTime) {
+            // The simulator sends at once.
             startLine("try")
                     .append(' ')
                     .append(id)
@@ -50,6 +51,11 @@
                     .append('\n');
         }
 
+        @Override
+        public void withdraw(String id) {
+            // No attempt waits to be sent.
+        }
+
         @Override
         public void refuse(String id, long retryAfterNanos, Reason reason) {
             startLine("decline")
--- a/edge/src/main/java/thistlefall/edge/node/ActionExecutor.java
+++ b/edge/src/main/java/thistlefall/edge/node/ActionExecutor.java
@@ -10,8 +10,11 @@
 import thistlefall.Ports;
 import thistlefall.Ports.Outcome;
 import thistlefall.Ports.Reason;
+import thistlefall.Ports.Repeat;
 import thistlefall.Ports.Request;
 import thistlefall.Ports.Result;
+import thistlefall.attempt.SendPermission;
+import thistlefall.clock.MonotonicWallClock;
 import thistlefall.edge.http.HttpFields;
 import thistlefall.edge.upstream.ServerConnectionPool;
 import thistlefall.request.FailureCause;
@@ -23,6 +26,8 @@
  * calls and timers. Confined to the node's event loop. Durations and times are in nanoseconds.
  */
 final class ActionExecutor implements Ports.Actions {
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
     private final String nodeName;
     private final EventLoop eventLoop;
     private final Logger log;
@@ -171,7 +176,7 @@
     }
 
     @Override
-    public void send(String requestId, String serverId, long timeout) {
+    public void send(String requestId, String serverId, long timeout, long latestSendTime) {
         RequestContext requestContext = activeRequests.find(requestId);
         if (requestContext == null) {
             // The request was completed after an exception in the module. Report the attempt as not sent, so that the
@@ -187,7 +192,7 @@
             return;
         }
         int attemptNumber = requestContext.trackedRequest.attempts() - 1;
-        boolean tokenInactive = attemptNumber > 0 && resolver.isTokenInactive(requestContext);
+        boolean tokenInactive = isTokenInactive(requestContext, attemptNumber);
         ServerConnectionPool pool = serverPools.poolFor(serverId);
         if (tokenInactive || pool == null || attemptNumber > 0 && !requestContext.body.isReplayable()) {
             activeRequests.attemptEnded(requestContext, Outcome.NOT_SENT);
@@ -199,7 +204,57 @@
         long remainingTime = requestContext.trackedRequest.deadline()
                 - ClientConnectionManager.DEADLINE_MARGIN_NANOS
                 - System.nanoTime();
-        requestContext.currentAttempt.start(pool, timeout <= 0 ? remainingTime : Math.min(timeout, remainingTime));
+        requestContext.currentAttempt.start(
+                pool,
+                timeout <= 0 ? remainingTime : Math.min(timeout, remainingTime),
+                MonotonicWallClock.minimumElapsed(latestSendTime - clock.now()));
+    }
+
+    @Override
+    public void withdraw(String requestId) {
+        RequestContext requestContext = activeRequests.find(requestId);
+        if (requestContext != null && requestContext.currentAttempt != null) {
+            requestContext.currentAttempt.withdraw();
+        }
+    }
+
+    /** Whether a further attempt would outlive the client's token. */
+    boolean isTokenInactive(RequestContext requestContext, int attemptNumber) {
+        return attemptNumber > 0 && resolver.isTokenInactive(requestContext);
+    }
+
+    /** Counts an attempt that could not be sent by its latest time. */
+    void countLateSend() {
+        metrics.lateSends++;
+    }
+
+    /** Counts an attempt that was taken back before it was sent. */
+    void countWithdrawnSend() {
+        metrics.withdrawnSends++;
+    }
+
+    /** Logs an attempt that is sent although an earlier one may have run, so that its times can be followed. */
+    void logRepeat(RequestContext requestContext, Attempt attempt, SendPermission sendPermission) {
+        Attempt possibleRun = requestContext.possibleRun;
+        Repeat repeat =
+                settings.classes().get(requestContext.descriptor.requestClass()).repeat();
+        if (possibleRun == null || repeat == Repeat.SAFE) {
+            return;
+        }
+        long now = System.nanoTime();
+        log.atInfo()
+                .addKeyValue("node", nodeName)
+                .addKeyValue("request", requestContext.trackedRequest.id())
+                .addKeyValue("client_request", requestContext.clientRequestId)
+                .addKeyValue("class", requestContext.descriptor.className())
+                .addKeyValue("server", attempt.serverId())
+                .addKeyValue("attempt", attempt.number() + 1)
+                .addKeyValue("waited_ms", attempt.timeToSend() / NANOS_PER_MILLI)
+                .addKeyValue("may_be_sent_for_ms", sendPermission.remaining(now) / NANOS_PER_MILLI)
+                .addKeyValue("may_have_run_at", possibleRun.serverId())
+                .addKeyValue("decided_ms_ago", (now - possibleRun.startedAt()) / NANOS_PER_MILLI)
+                .addKeyValue("sent_ms_after_that", possibleRun.timeToSend() / NANOS_PER_MILLI)
+                .log("sent again");
     }
 
     private void reportNotSent(RequestContext requestContext, String serverId, int attemptNumber) {
@@ -284,6 +339,9 @@
     void attemptEnded(RequestContext requestContext, Attempt attempt, Attempt.AttemptResult attemptResult) {
         Outcome outcome = attemptResult.outcome();
         activeRequests.attemptEnded(requestContext, outcome);
+        if (!outcome.provesNeverRan() && requestContext.possibleRun == null) {
+            requestContext.possibleRun = attempt;
+        }
         var result = new Result(
                 requestContext.trackedRequest.id(),
                 outcome,
--- a/edge/src/main/java/thistlefall/edge/node/Attempt.java
+++ b/edge/src/main/java/thistlefall/edge/node/Attempt.java
@@ -8,6 +8,7 @@
 import thistlefall.attempt.EndReason;
 import thistlefall.attempt.OutcomeClassifier;
 import thistlefall.attempt.ResponseClassification;
+import thistlefall.attempt.SendPermission;
 import thistlefall.edge.http.Framing;
 import thistlefall.edge.http.HttpFields;
 import thistlefall.edge.http.HttpWriter;
@@ -33,6 +34,10 @@
     private final String serverId;
     private final int number;
     private final long startedAt = System.nanoTime();
+    private SendPermission sendPermission;
+    /** When the request was handed to the socket as a whole; 0 before that. */
+    private long writtenAt;
+
     private AttemptProgress progress = AttemptProgress.WAITING;
     private ServerConnection connection;
     private MessageHead.ResponseHead head;
@@ -47,6 +52,8 @@
     private boolean ended;
     private boolean outcomeReported;
     private TimingWheel.ScheduledTimeout<Runnable> deadlineTimeout;
+    /** Ends the attempt if it has not been sent in time; null once it has been. */
+    private TimingWheel.ScheduledTimeout<Runnable> sendTimeout;
 
     Attempt(ActionExecutor executor, RequestContext requestContext, String serverId, int number) {
         this.executor = executor;
@@ -68,8 +75,23 @@
         return unsentBytes + responseBuffer.capacity();
     }
 
-    void start(ServerConnectionPool pool, long timeout) {
+    /** Returns how long the attempt took until its request was handed to the socket as a whole. */
+    long timeToSend() {
+        return (writtenAt == 0 ? System.nanoTime() : writtenAt) - startedAt;
+    }
+
+    /** Returns when the attempt was decided on, by the monotonic clock. */
+    long startedAt() {
+        return startedAt;
+    }
+
+    /** Begins the attempt, which ends after {@code timeout} and may be sent for {@code sendTime}. */
+    void start(ServerConnectionPool pool, long timeout, long sendTime) {
         deadlineTimeout = executor.eventLoopTimer().schedule(timeout, () -> end(EndReason.OVERDUE));
+        sendPermission = new SendPermission(startedAt + Math.min(timeout, sendTime));
+        if (sendTime < timeout) {
+            sendTimeout = executor.eventLoopTimer().schedule(sendTime, this::endUnlessSent);
+        }
         if (number == 0) {
             requestContext.clientConnection.sendContinue(requestContext);
         }
@@ -78,12 +100,14 @@
 
     @Override
     public void acquired(ServerConnection acquiredConnection) {
-        if (ended) {
-            // The attempt ended while it waited for the connection; return the connection to the pool.
+        if (ended || !maySendNow()) {
+            // The attempt ended while it waited, or ends now. The connection goes back to the pool.
             acquiredConnection.release();
+            end(EndReason.NOT_STARTED);
             return;
         }
         connection = acquiredConnection;
+        executor.logRepeat(requestContext, this, sendPermission);
         progress = AttemptProgress.CONNECTED;
         MessageHead.RequestHead request = requestContext.head;
         Channel channel = acquiredConnection.channel();
@@ -99,6 +123,15 @@
         }
     }
 
+    /** The only check between the decision for the attempt and its first byte, directly before that byte. */
+    private boolean maySendNow() {
+        boolean inTime = sendPermission.holdsAt(System.nanoTime());
+        if (!inTime) {
+            executor.countLateSend();
+        }
+        return inTime && !executor.isTokenInactive(requestContext, number);
+    }
+
     /** Writes the request head and forwards the body as it arrives. */
     private void streamRequest(Channel channel, ByteBuf out) {
         MessageHead.RequestHead request = requestContext.head;
@@ -108,7 +141,7 @@
                 !request.method().equals("GET") && !request.method().equals("HEAD"));
         HttpWriter.endHead(out);
         // Once the first byte is written, it can no longer be proven that the server did not execute the request.
-        progress = AttemptProgress.WRITTEN;
+        requestSent();
         channel.write(out, channel.voidPromise());
         requestContext.body.attach(this);
         channel.flush();
@@ -129,12 +162,43 @@
             unsentBytes = 0;
             requestContext.clientConnection.updateMemory();
             if (connection == requestConnection && writeFuture.isSuccess()) {
-                progress = progress == AttemptProgress.CONNECTED ? AttemptProgress.WRITTEN : progress;
+                if (progress == AttemptProgress.CONNECTED) {
+                    requestSent();
+                }
                 requestConnection.requestWritten();
             }
         });
     }
 
+    /** From now on the request may have run, so it is too late to take the attempt back. */
+    private void requestSent() {
+        progress = AttemptProgress.WRITTEN;
+        writtenAt = System.nanoTime();
+        cancelSendTimeout();
+    }
+
+    private void cancelSendTimeout() {
+        executor.eventLoopTimer().cancel(sendTimeout);
+        sendTimeout = null;
+    }
+
+    private void endUnlessSent() {
+        sendPermission.withdraw();
+        if (progress.compareTo(AttemptProgress.WRITTEN) < 0) {
+            executor.countLateSend();
+            end(EndReason.OVERDUE);
+        }
+    }
+
+    /** Takes the attempt back if no byte of it has been sent. */
+    void withdraw() {
+        if (progress == AttemptProgress.WAITING) {
+            sendPermission.withdraw();
+            executor.countWithdrawnSend();
+            end(EndReason.WITHDRAWN);
+        }
+    }
+
     @Override
     public void unavailable(EndReason endReason) {
         end(endReason);
@@ -306,6 +370,7 @@
         ended = true;
         responseBuffer.release();
         executor.eventLoopTimer().cancel(deadlineTimeout);
+        cancelSendTimeout();
         requestContext.body.detach();
         if (connection != null) {
             connection.abandon();
--- a/edge/src/main/java/thistlefall/edge/node/NodeMetrics.java
+++ b/edge/src/main/java/thistlefall/edge/node/NodeMetrics.java
@@ -13,6 +13,8 @@
     long refused;
     long failed;
     long attempts;
+    long lateSends;
+    long withdrawnSends;
     long probes;
     long counterCalls;
     long counterFailures;
@@ -23,6 +25,7 @@
     long clientsGone;
     long expiredByTracker;
     long connectionsRejected;
+    long serverListUpdates;
     long serverListFailures;
     long malformedRequests;
     long idleConnectionsClosed;
@@ -45,6 +48,8 @@
         map.put("refused", refused);
         map.put("failed", failed);
         map.put("attempts", attempts);
+        map.put("late_sends", lateSends);
+        map.put("withdrawn_sends", withdrawnSends);
         map.put("probes", probes);
         map.put("counter_calls", counterCalls);
         map.put("counter_failures", counterFailures);
@@ -55,6 +60,7 @@
         map.put("clients_gone", clientsGone);
         map.put("ended_by_ledger", expiredByTracker);
         map.put("connections_turned_away", connectionsRejected);
+        map.put("list_updates", serverListUpdates);
         map.put("list_failures", serverListFailures);
         map.put("unreadable", malformedRequests);
         map.put("idle_closed", idleConnectionsClosed);
--- a/edge/src/main/java/thistlefall/edge/node/RequestContext.java
+++ b/edge/src/main/java/thistlefall/edge/node/RequestContext.java
@@ -33,6 +33,8 @@
     TokenKey tokenKey;
     String customerName;
     Attempt currentAttempt;
+    /** The first attempt that may have run; null if there is none. */
+    Attempt possibleRun;
     /** Whether it has been submitted to the decision module. */
     boolean submittedToModule;
     /** Whether the head of its response has been written. */
--- a/edge/src/main/java/thistlefall/edge/node/ServerListUpdater.java
+++ b/edge/src/main/java/thistlefall/edge/node/ServerListUpdater.java
@@ -102,6 +102,7 @@
                     .addKeyValue("servers", serverListTracker.servers().size())
                     .log("server list");
             listener.serverListChanged(change.kind(), change.entries());
+            metrics.serverListUpdates++;
         }
     }
 
--- a/standin/src/main/java/thistlefall/standin/fault/FaultInjector.java
+++ b/standin/src/main/java/thistlefall/standin/fault/FaultInjector.java
@@ -186,7 +186,7 @@
         }
 
         @Override
-        public void send(String id, String server, long patience) {
+        public void send(String id, String server, long patience, long latestSendTime) {
             delegate.send(
                     id,
                     knownServers.values().stream()
@@ -195,7 +195,13 @@
                             .max(Comparator.comparingLong(Server::startedAt))
                             .map(Server::id)
                             .orElse(server),
-                    patience);
+                    patience,
+                    latestSendTime);
+        }
+
+        @Override
+        public void withdraw(String id) {
+            delegate.withdraw(id);
         }
 
         @Override
--- a/standin/src/main/java/thistlefall/standin/simulation/ModuleStrategy.java
+++ b/standin/src/main/java/thistlefall/standin/simulation/ModuleStrategy.java
@@ -54,11 +54,16 @@
     }
 
     @Override
-    public void send(String id, String server, long patience) {
+    public void send(String id, String server, long patience, long latestSendTime) {
         serverByRequest.put(id, server);
         listener.sent(id);
     }
 
+    @Override
+    public void withdraw(String id) {
+        // Requests are sent at once here: none waits.
+    }
+
     @Override
     public void refuse(String id, long retryAfter, Reason reason) {
         listener.refused(id, reason.name().toLowerCase(java.util.Locale.ROOT));
