Buffers come from an allocator without caches of freed ones

Cause: the allocator kept freed buffers of each size in a cache of the event loop's thread, hundreds for each of some forty sizes, so that the budget of buffers in use did not bound what it took from the JVM. At the JVM's limit each allocation sleeps for half a second.

Change: all channels use NodeAllocator, one arena without caches. The budget also looks at what all buffers in use take, and gives out nothing within a quarter of the JVM's limit. ClientMemoryTest reads the process's resident memory from outside and plays long bodies without time, stopped bodies, many short fields, and all mixed (500 clients).

The new loads of ClientMemoryTest passed without the change too; they are too short to show the fault.

--- a/cli/src/test/java/thistlefall/cli/ClientMemoryTest.java
+++ b/cli/src/test/java/thistlefall/cli/ClientMemoryTest.java
@@ -44,9 +44,15 @@
     /** The time of a usual request, and half a second and 50 ms beyond which it counts as lost. */
     private static final int ANSWER_TIMEOUT_MS = 3_550;
 
+    /** What the configuration of the test allows the process. */
+    private static final long MEMORY_LIMIT_BYTES = 128L << 20;
+
     /** At its limit of connections a node may close one that is idle, or a new one before it has read anything. */
     private static final int MAX_CONNECTIONS_FOR_A_REQUEST = 2_000;
 
+    /** As many fields as a head may have, with those that a request needs. */
+    private static final String SHORT_FIELDS = "a: b\r\n".repeat(55);
+
     private static final String LONG_RESPONSE_MARK = "long";
     private static final byte[] LONG_RESPONSE = new byte[60_000];
 
@@ -80,14 +86,31 @@
         UNREAD_RESPONSES(300, lookup("?" + LONG_RESPONSE_MARK, "").repeat(400)),
         UNREAD_REFUSALS(300, lookup("", "X-Tariff: none\r\n").repeat(4_000)),
         SEND_AND_LEAVE(
-                300, payment("Content-Length: 4000\r\n\r\n" + "x".repeat(4_000)).repeat(200));
+                300, payment("Content-Length: 4000\r\n\r\n" + "x".repeat(4_000)).repeat(200)),
+        LONG_BODIES_WITHOUT_TIME_LEFT(
+                250,
+                payment("Content-Length: 60000\r\n\r\n" + "x".repeat(60_000))
+                        .replace("X-Expires-In: 3.000", "X-Expires-In: 0.020")
+                        .repeat(20)),
+        STOPPED_IN_BODY(400, payment("Content-Length: 60000\r\n\r\n" + "x".repeat(30_000))),
+        MANY_SHORT_FIELDS(
+                250, payment(SHORT_FIELDS + "Content-Length: 2\r\n\r\n{}").repeat(100)),
+        TOO_MANY_SHORT_FIELDS(250, payment(SHORT_FIELDS.repeat(10))),
+        MIXED(
+                500,
+                STOPPED_IN_BODY.kinds[0],
+                MANY_SHORT_FIELDS.kinds[0],
+                TOO_MANY_SHORT_FIELDS.kinds[0],
+                LONG_BODIES_WITHOUT_TIME_LEFT.kinds[0],
+                UNFINISHED_HEADS.kinds[0]);
 
         private final int clients;
-        private final String bytes;
+        /** What the clients send, each kind by as many of them. */
+        private final String[] kinds;
 
-        Load(int clients, String bytes) {
+        Load(int clients, String... kinds) {
             this.clients = clients;
-            this.bytes = bytes;
+            this.kinds = kinds;
         }
 
         boolean readsResponses() {
@@ -139,7 +162,8 @@
         }
 
         private ByteBuf requests(Load load) {
-            Matcher idMarks = Pattern.compile("@ID@").matcher(load.bytes);
+            String kind = load.kinds[connected.get() % load.kinds.length];
+            Matcher idMarks = Pattern.compile("@ID@").matcher(kind);
             String text = idMarks.replaceAll(mark -> String.format("%016x", requestNumber.incrementAndGet()));
             return Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.US_ASCII));
         }
@@ -248,6 +272,14 @@
         }
     }
 
+    /** Returns the most memory that the process has held, as the system counts it. */
+    private static long peakResidentBytes(Process process) throws IOException {
+        Matcher peak = Pattern.compile("VmHWM:\\s+(\\d+) kB")
+                .matcher(Files.readString(Path.of("/proc", Long.toString(process.pid()), "status")));
+        assertTrue(peak.find());
+        return Long.parseLong(peak.group(1)) * 1024;
+    }
+
     private long loggedCount(String name) {
         Matcher count = Pattern.compile("ended: .*\\b" + name + "=(\\d+)").matcher(NodeProcess.readLog(folder));
         assertTrue(count.find(), () -> NodeProcess.readLog(folder));
@@ -256,7 +288,8 @@
 
     /**
      * Guards against an event loop that sleeps in its allocations because clients hold all memory: a usual client got
-     * no answers. All app servers hold the payments, so that what waits behind them stays.
+     * no answers; and against a process that is ended because it holds more than its limit, whatever the node itself
+     * has counted. All app servers hold the payments, so that what waits behind them stays.
      */
     @ParameterizedTest
     @EnumSource(Load.class)
@@ -272,6 +305,8 @@
             try {
                 NodeProcess.awaitCondition(() -> isReady(environment.node()));
                 playLoad(load, environment.node());
+                long peakBytes = peakResidentBytes(process);
+                assertTrue(peakBytes <= MEMORY_LIMIT_BYTES, "resident at the peak: " + peakBytes);
                 NodeProcess.sendSignal(process, "TERM");
                 assertTrue(process.waitFor(20, TimeUnit.SECONDS));
                 assertEquals(0, process.exitValue());
--- a/core/src/main/java/thistlefall/memory/MemoryBudget.java
+++ b/core/src/main/java/thistlefall/memory/MemoryBudget.java
@@ -7,14 +7,18 @@
  * the more is in use, the less any of them may hold. Some memory always stays free, so that a connection which holds
  * little can be served however many hold much.
  *
- * <p>Accounts are updated after the fact, so the total may exceed the limit by what is read at once. All sizes are in
- * bytes. Not thread-safe.
+ * <p>Accounts are updated after the fact, so the total may exceed the limit by what is read at once. Nothing more is
+ * given out while the process cannot provide it, however little the accounts hold. All sizes are in bytes. Not
+ * thread-safe.
  */
 public final class MemoryBudget {
     /** A connection may hold one byte for this many free ones. */
     private static final long FREE_BYTES_FOR_EACH_HELD = 16;
 
     private final long limit;
+    /** What the process can still provide, whoever holds the rest. */
+    private long available = Long.MAX_VALUE;
+
     private long held;
     private long peak;
     private boolean shortage;
@@ -44,7 +48,15 @@
 
     /** Returns what a single connection may hold at present. */
     public long threshold() {
-        return Math.max(0, limit - held) / FREE_BYTES_FOR_EACH_HELD;
+        return Math.max(0, Math.min(limit - held, available)) / FREE_BYTES_FOR_EACH_HELD;
+    }
+
+    /**
+     * Sets what the process can still provide. What is counted here is what the connections asked for; the allocator
+     * takes more, and others use it too.
+     */
+    public void setAvailable(long bytes) {
+        available = bytes;
     }
 
     /** Returns whether an account has been denied memory since the last call. */
--- a/edge/src/main/java/thistlefall/edge/node/ClientConnectionManager.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientConnectionManager.java
@@ -101,6 +101,7 @@
             connection.updateMemory();
             return !connection.hasUnsentBytes();
         });
+        clientMemory.setAvailable(DirectMemory.availableForClients());
         relieveMemoryShortage();
     }
 
--- a/edge/src/main/java/thistlefall/edge/node/DirectMemory.java
+++ b/edge/src/main/java/thistlefall/edge/node/DirectMemory.java
@@ -1,8 +1,7 @@
 package thistlefall.edge.node;
 
-import io.netty.buffer.ByteBufAllocator;
-import io.netty.buffer.ByteBufAllocatorMetricProvider;
 import io.netty.util.internal.PlatformDependent;
+import thistlefall.edge.upstream.NodeAllocator;
 
 /** The direct memory of this process, which all nodes in it share; sizes are in bytes. Thread-safe. */
 public final class DirectMemory {
@@ -11,12 +10,20 @@
     /**
      * Returns how much a node may hold for its clients. The other half is for what it reads at once, for its
      * connections to servers, and for the free parts of the allocator's chunks: an allocation beyond the JVM's limit
-     * would block the event loop for about half a second.
+     * fails, and where the options of the deployment are not set, it blocks the event loop for half a second before.
      */
     public static long limitForClients() {
         return limit() / 2;
     }
 
+    /**
+     * Returns how much clients may still make the nodes of this process hold, by the buffers in use. A quarter of the
+     * limit is kept for the free parts of the allocator's chunks.
+     */
+    static long availableForClients() {
+        return limit() - limit() / 4 - NodeAllocator.usedBytes();
+    }
+
     /** Returns the limit of the JVM ({@code -XX:MaxDirectMemorySize}, by default the maximum heap). */
     static long limit() {
         return PlatformDependent.maxDirectMemory();
@@ -24,8 +31,6 @@
 
     /** Returns what the buffer allocator has taken from the JVM, free parts of its chunks included. */
     static long allocated() {
-        return ByteBufAllocator.DEFAULT instanceof ByteBufAllocatorMetricProvider provider
-                ? provider.metric().usedDirectMemory()
-                : 0;
+        return NodeAllocator.allocatedBytes();
     }
 }
--- a/edge/src/main/java/thistlefall/edge/node/EdgeNode.java
+++ b/edge/src/main/java/thistlefall/edge/node/EdgeNode.java
@@ -23,6 +23,7 @@
 import thistlefall.edge.http.RequestDecoder;
 import thistlefall.edge.settings.Defaults;
 import thistlefall.edge.settings.NodeSettings;
+import thistlefall.edge.upstream.NodeAllocator;
 import thistlefall.edge.upstream.Transports;
 import thistlefall.lifecycle.GracefulShutdown;
 import thistlefall.memory.MemoryBudget;
@@ -100,6 +101,7 @@
         var bootstrap = new ServerBootstrap()
                 .group(eventLoopGroup)
                 .channel(Transports.serverChannelClass(definition.listen()))
+                .childOption(ChannelOption.ALLOCATOR, NodeAllocator.INSTANCE)
                 .childOption(
                         ChannelOption.RCVBUF_ALLOCATOR,
                         new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
--- a/edge/src/main/java/thistlefall/edge/upstream/Transports.java
+++ b/edge/src/main/java/thistlefall/edge/upstream/Transports.java
@@ -31,6 +31,7 @@
         var bootstrap = new Bootstrap()
                 .group(loop)
                 .channel(isTcp(remoteAddress) ? UpstreamSocketChannel.class : LocalChannel.class)
+                .option(ChannelOption.ALLOCATOR, NodeAllocator.INSTANCE)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutMillis));
         return isTcp(remoteAddress) ? bootstrap.option(ChannelOption.TCP_NODELAY, true) : bootstrap;
     }
