The module remembers a bounded number of customers, and none gains by being forgotten

Cause: each customer was kept for two minutes after its last use, whatever their number, some 860 bytes each under a ceiling, in a heap of 40 MB. With the same requests from 1,000 customers nothing happens.

Change: CustomerTable in core keeps 16,384 customers. At the limit it forgets the one of up to 64 that loses least; when its quota and ceiling will be full again is remembered in a fixed number of slots, so that it starts no fuller than it was. One that a request or a call depends on is kept; if all compared are, the new customer is refused ("memory").

Tests: CustomerTableTest and ManyCustomersTest (bound, order, no second burst).

--- a/core/src/main/java/thistlefall/Gateway.java
+++ b/core/src/main/java/thistlefall/Gateway.java
@@ -27,6 +27,8 @@
 import thistlefall.Ports.Server;
 import thistlefall.Ports.Settings;
 import thistlefall.attempt.SendDeadlines;
+import thistlefall.customer.CustomerTable;
+import thistlefall.customer.RememberedCustomer;
 import thistlefall.lease.CeilingLease;
 import thistlefall.lease.LeaseParameters;
 import thistlefall.lease.LeaseWaitQueue;
@@ -111,6 +113,8 @@
      * flight and the customer's quota and ceiling are full again.
      */
     private static final long FORGET_AFTER = 120 * SECOND;
+    /** Customers remembered at most; each takes up to one kilobyte. */
+    private static final int MAX_CUSTOMERS = 16_384;
 
     private final Settings settings;
     private final Actions host;
@@ -125,7 +129,7 @@
     private long sendPausedUntil;
     private long serversSweptAt;
     private final Map<String, PendingRequest> pendingRequests = new HashMap<>();
-    private final Map<Long, CustomerState> customers = new LinkedHashMap<>();
+    private final CustomerTable<CustomerState> customers = new CustomerTable<>(MAX_CUSTOMERS, FORGET_AFTER);
     private final Map<String, ServerState> servers = new LinkedHashMap<>();
     private List<ServerState> readyServers = List.of();
     /** Average quotient of measured and expected service time, by kind of server. */
@@ -239,11 +243,14 @@
         if (!classAndPlanKnown || pendingRequests.containsKey(request.id())) {
             return;
         }
-        CustomerState customer = customers.get(request.customer());
+        CustomerState customer = customers.find(request.customer());
+        if (customer == null && !customers.makeRoom(now)) {
+            host.refuse(request.id(), 0, Reason.CUSTOMERS);
+            return;
+        }
         if (customer == null) {
-            forgetIdleCustomers();
             customer = new CustomerState(request.customer(), request);
-            customers.put(request.customer(), customer);
+            customers.add(customer);
         }
         ClassQueue classQueue = classQueues[request.requestClass()];
         classQueue.arrivals++;
@@ -259,20 +266,6 @@
         dispatch();
     }
 
-    /**
-     * Each new customer triggers a check of the two customers that were not checked for longest, so that memory
-     * follows the number of active customers without a walk over all of them.
-     */
-    private void forgetIdleCustomers() {
-        for (int i = 0; i < 2 && !customers.isEmpty(); i++) {
-            CustomerState oldest = customers.values().iterator().next();
-            customers.remove(oldest.key);
-            if (!oldest.canBeForgotten()) {
-                customers.put(oldest.key, oldest);
-            }
-        }
-    }
-
     private void enqueue(PendingRequest pendingRequest) {
         pendingRequest.classQueue.requests.add(pendingRequest);
         shedExcess(pendingRequest.classQueue);
@@ -418,7 +411,7 @@
             long sentAt) {}
 
     /** What this gateway knows of one customer: its use, the estimate of its quota, and its ceiling. */
-    private final class CustomerState {
+    private final class CustomerState implements RememberedCustomer {
         private final long key;
         /** Duration of a window of the customer's counter totals. */
         private final long windowLength;
@@ -461,6 +454,7 @@
             double largestRequest = settings.counter().largestRequestUnits();
             estimate = new QuotaEstimate(
                     plan.rate(), plan.burst(), gatewaySetSize, largestRequest, windowLength, gatewayStartedAt, now);
+            estimate.assumeFullAt(now, customers.quotaFullAt(key));
             // A restarted gateway cannot know what it spent under the ceiling before, so it starts with no units.
             lease = plan.ceilingRate() <= 0
                     ? null
@@ -472,20 +466,50 @@
                                     quotaShared && settings.counter().supportsLeases()),
                             key,
                             gatewayStartedAt);
+            if (lease != null) {
+                lease.assumeFullAt(customers.ceilingFullAt(key));
+            }
             // Reports to the counter are spread over time: sent all at once they would find its queue full.
             nextReportAt = now + random.nextLong(REPORT_INTERVAL);
         }
 
-        /**
-         * Returns whether this state can be dropped, because a new one would equal it: its quota and ceiling are full,
-         * it has no unfinished request and no unreported use, and it has been unused for longer than
-         * {@code FORGET_AFTER}. Being forgotten gives a customer no advantage.
-         */
-        boolean canBeForgotten() {
-            estimate.refill(now);
-            boolean refilled = estimate.isFull() && (lease == null || lease.isFull(now));
-            boolean idle = unfinishedRequests == 0 && !customersToReport.contains(this);
-            return refilled && idle && now - Math.max(lastUsedAt, estimate.lastUpdate()) > FORGET_AFTER;
+        @Override
+        public long key() {
+            return key;
+        }
+
+        @Override
+        public boolean isInUse() {
+            return unfinishedRequests > 0
+                    || newestQuotaCall != null
+                    || customersWithLeaseWork.contains(this)
+                    || lease != null && lease.hasUnfinishedOperation();
+        }
+
+        @Override
+        public boolean hasUnreportedUse() {
+            return customersToReport.contains(this);
+        }
+
+        @Override
+        public long lastUsedAt() {
+            return Math.max(lastUsedAt, estimate.lastUpdate());
+        }
+
+        @Override
+        public long quotaFullAt(long time) {
+            estimate.refill(time);
+            return estimate.fullAt(time);
+        }
+
+        @Override
+        public long ceilingFullAt(long time) {
+            return lease == null ? time : lease.fullAt(time);
+        }
+
+        @Override
+        public void forgotten() {
+            customersToReport.remove(this);
         }
 
         /**
--- a/core/src/main/java/thistlefall/Ports.java
+++ b/core/src/main/java/thistlefall/Ports.java
@@ -80,6 +80,8 @@
         QUEUE,
         /** Not served by any server within the attempts that it may have. */
         SERVERS,
+        /** Of a customer that is not remembered, while no remembered one can be forgotten. */
+        CUSTOMERS,
         /** Of an unknown class or plan. */
         UNKNOWN
     }
--- a/core/src/main/java/thistlefall/lease/CeilingLease.java
+++ b/core/src/main/java/thistlefall/lease/CeilingLease.java
@@ -152,10 +152,21 @@
                 || nextStep == LeaseStep.RETRACT_MARK;
     }
 
-    /** Returns whether the local part is full and no call is outstanding, so that this state may be discarded. */
-    public boolean isFull(long now) {
+    /** Returns when the local part will be full without further use; {@code now} if it is full. */
+    public long fullAt(long now) {
         advance(now);
-        return localUnits >= parameters.localBurst() && pendingStep == LeaseStep.NONE;
+        double missingUnits = parameters.localBurst() - localUnits;
+        return missingUnits <= 0
+                ? now
+                : now + (long) Math.ceil(missingUnits / parameters.localRate() / SECONDS_PER_NANO);
+    }
+
+    /** Lets the local part of a new state gain units so that it is full at {@code time}, unless it is full later. */
+    public void assumeFullAt(long time) {
+        long timeToFill = (long) Math.ceil(parameters.localBurst() / parameters.localRate() / SECONDS_PER_NANO);
+        if (time != Long.MIN_VALUE) {
+            localUnitsAt = Math.max(localUnitsAt, time - timeToFill);
+        }
     }
 
     /**
--- a/core/src/main/java/thistlefall/quota/QuotaEstimate.java
+++ b/core/src/main/java/thistlefall/quota/QuotaEstimate.java
@@ -96,9 +96,17 @@
         return isolated;
     }
 
-    /** Returns whether the quota is full. */
-    public boolean isFull() {
-        return units >= burst;
+    /** Returns when the quota will be full without further use; {@code now} if it is full. */
+    public long fullAt(long now) {
+        return units >= burst || rate <= 0 ? now : now + (long) Math.ceil((burst - units) / rate / SECONDS_PER_NANO);
+    }
+
+    /** Lowers a new estimate to that of a quota that will be full at {@code time}, which may have passed. */
+    public void assumeFullAt(long now, long time) {
+        if (time > now) {
+            units = Math.min(units, Math.max(-largestRequest, burst - rate * (time - now) * SECONDS_PER_NANO));
+            refilledAt = now;
+        }
     }
 
     /** Records use by this gateway; a negative amount returns units. */
--- a/core/src/main/java/thistlefall/request/FailureCause.java
+++ b/core/src/main/java/thistlefall/request/FailureCause.java
@@ -55,6 +55,7 @@
             case TIME -> TIME;
             case QUEUE -> QUEUE;
             case SERVERS -> SERVERS;
+            case CUSTOMERS -> MEMORY;
             case UNKNOWN -> UNKNOWN;
         };
     }
