A process ends if its event loop ends, and errors of handlers are logged

Cause: the process waited for signals only; nothing looked at the event loop. What a handler threw closed its connection without a word.

ChannelErrors logs what handlers throw, errors of connections excepted.

--- a/cli/src/main/java/thistlefall/cli/RunCommand.java
+++ b/cli/src/main/java/thistlefall/cli/RunCommand.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.spi.LoggingEventBuilder;
@@ -66,6 +67,11 @@
                         WallClock.SYSTEM,
                         fault == null ? NodeInterceptor.NONE : new FaultInjector(EnumSet.of(fault))));
         var stopped = new CountDownLatch(1);
+        var exitStatus = new AtomicInteger();
+        node.onUnexpectedEnd(() -> {
+            exitStatus.set(Main.COULD_NOT_RUN);
+            stopped.countDown();
+        });
         Runtime.getRuntime()
                 .addShutdownHook(new Thread(
                         () -> {
@@ -86,7 +92,7 @@
                 + node.address().getPort());
         System.out.flush();
         stopped.await();
-        return 0;
+        return exitStatus.get();
     }
 
     private static void logCounts(EdgeNode node) {
--- a/edge/src/main/java/thistlefall/edge/counter/CounterClient.java
+++ b/edge/src/main/java/thistlefall/edge/counter/CounterClient.java
@@ -14,6 +14,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import thistlefall.Ports.Outcome;
+import thistlefall.edge.upstream.ChannelErrors;
 import thistlefall.edge.upstream.Transports;
 
 /**
@@ -286,6 +287,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            ChannelErrors.report(context.channel(), cause);
             context.close();
         }
     }
--- a/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
@@ -22,6 +22,7 @@
 import thistlefall.edge.http.MessageHead;
 import thistlefall.edge.http.RequestDecoder;
 import thistlefall.edge.settings.NodeSettings.LimitSettings;
+import thistlefall.edge.upstream.ChannelErrors;
 import thistlefall.lifecycle.ConnectionLifecycle;
 import thistlefall.memory.MemoryBudget;
 import thistlefall.request.FailureCause;
@@ -676,6 +677,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        ChannelErrors.report(channel, cause);
         channel.close();
     }
 }
--- a/edge/src/main/java/thistlefall/edge/node/EdgeNode.java
+++ b/edge/src/main/java/thistlefall/edge/node/EdgeNode.java
@@ -69,7 +69,7 @@
     private final NodeRuntime runtime;
     private final Channel serverChannel;
     private final Duration lingerTimeout;
-    private boolean stopped;
+    private volatile boolean stopped;
 
     private EdgeNode(NodeDefinition definition, Options options) throws IOException {
         Logger log = LoggerFactory.getLogger("thistlefall.node");
@@ -178,6 +178,19 @@
         return metrics;
     }
 
+    /**
+     * Has a listener called, by any thread, if the node's event loop ends although the node was not stopped. Such a
+     * node serves nobody any more, and its process should end, so that it is started again.
+     */
+    public void onUnexpectedEnd(Runnable listener) {
+        eventLoop.terminationFuture().addListener(end -> {
+            if (!stopped) {
+                LoggerFactory.getLogger("thistlefall.node").error("the event loop has ended unexpectedly");
+                listener.run();
+            }
+        });
+    }
+
     /**
      * Stops the node: accepts nothing new, waits up to the given duration for pending responses, then answers the
      * remaining requests as refused or failed, whichever is true of each, and closes.
@@ -188,7 +201,7 @@
 
     /** Stops the node in the phases of {@link GracefulShutdown}. */
     public synchronized void stop(GracefulShutdown.ShutdownTimeouts timeouts) {
-        if (stopped) {
+        if (stopped || eventLoop.isShuttingDown()) {
             return;
         }
         stopped = true;
--- a/edge/src/main/java/thistlefall/edge/upstream/ServerConnection.java
+++ b/edge/src/main/java/thistlefall/edge/upstream/ServerConnection.java
@@ -175,6 +175,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        ChannelErrors.report(channel, cause);
         failExchange(EndReason.CLOSED);
     }
 }
