An id that may have run for a client that left is not run again

Reported from other deployments, found here by a test: a client leaves while a server runs its payment; after the server's response the same id comes on another connection and runs a second time.

Cause: an id was known as long as its request had an attempt in flight. Nobody was left to get the response, so that the client cannot know whether it ran, but the id was free.

Change: such ids are remembered until the time of their request is up (DepartedRequestIds in core, 4,096 at most) and answered with 409. An id whose request was answered, or provably never ran, may come again as before.

Test: RepeatedRequestIdTest; clientLeavesWhileItsRequestRuns failed without the change for FIN and RST (200 in place of 409), the other states held.

--- a/core/src/main/java/thistlefall/request/RequestTracker.java
+++ b/core/src/main/java/thistlefall/request/RequestTracker.java
@@ -66,6 +66,11 @@
             return cause;
         }
 
+        /** Returns whether the request may have run and must not run a second time. */
+        public boolean mustNotRunAgain() {
+            return mayHaveRun() && requestClass.repeat() != Repeat.SAFE;
+        }
+
         /** Returns whether an attempt is outstanding. */
         public boolean attemptOutstanding() {
             return attemptOutstanding;
--- a/edge/src/main/java/thistlefall/edge/node/ActiveRequests.java
+++ b/edge/src/main/java/thistlefall/edge/node/ActiveRequests.java
@@ -9,6 +9,7 @@
 import org.slf4j.Logger;
 import thistlefall.Ports.Outcome;
 import thistlefall.Ports.RequestClass;
+import thistlefall.request.DepartedRequestIds;
 import thistlefall.request.FailureCause;
 import thistlefall.request.RequestTracker;
 import thistlefall.request.ResponseKind;
@@ -18,6 +19,8 @@
  * that response, and sends those that the node generates itself. Confined to the node's event loop.
  */
 final class ActiveRequests {
+    private static final int MAX_DEPARTED_IDS = 4_096;
+
     private final String nodeName;
     private final RequestTracker requestTracker;
     private final NodeMetrics metrics;
@@ -28,6 +31,9 @@
     /** The ids that clients gave to these requests; requests without such an id are not included. */
     private final Set<String> clientRequestIds = new HashSet<>();
 
+    /** The ids of clients that left while their requests may have run. */
+    private final DepartedRequestIds departedRequestIds = new DepartedRequestIds(MAX_DEPARTED_IDS);
+
     private long completedCount;
 
     ActiveRequests(
@@ -50,9 +56,13 @@
         return contextsById.get(requestId);
     }
 
-    /** Whether an unfinished request has this id, as given by its client. */
-    boolean isClientRequestIdOpen(String clientRequestId) {
-        return clientRequestIds.contains(clientRequestId);
+    /**
+     * Whether a request has this id, as given by its client, and is unfinished, or may have run for a client that left
+     * without the response. Only with a new id may it be sent again.
+     */
+    boolean isClientRequestIdTaken(String clientRequestId) {
+        return clientRequestIds.contains(clientRequestId)
+                || departedRequestIds.contains(clientRequestId, System.nanoTime());
     }
 
     boolean hasCapacity() {
@@ -138,6 +148,7 @@
 
     /** Completes the requests whose time is up; {@code onExpired} is called for each of them afterwards. */
     void expire(long monotonicNow, Consumer<RequestContext> onExpired) {
+        departedRequestIds.expire(monotonicNow);
         requestTracker.expire(monotonicNow, (trackedRequest, kind) -> {
             RequestContext requestContext = contextsById.get(trackedRequest.id());
             metrics.expiredByTracker++;
@@ -166,6 +177,11 @@
         if (!requestContext.trackedRequest.open() && !requestContext.trackedRequest.attemptOutstanding()) {
             contextsById.remove(requestContext.trackedRequest.id());
             clientRequestIds.remove(requestContext.clientRequestId);
+            if (requestContext.clientRequestId != null
+                    && requestContext.trackedRequest.cause() == FailureCause.CLIENT
+                    && requestContext.trackedRequest.mustNotRunAgain()) {
+                departedRequestIds.add(requestContext.clientRequestId, requestContext.trackedRequest.deadline());
+            }
         }
     }
 
--- a/edge/src/main/java/thistlefall/edge/node/TrustedRequestResolver.java
+++ b/edge/src/main/java/thistlefall/edge/node/TrustedRequestResolver.java
@@ -45,8 +45,8 @@
             RequestDescriptor descriptor = parser.parse(requestContext.head);
             String clientRequestId = parser.clientRequestId(requestContext.head);
             long clientTimeout = parser.clientTimeout(requestContext.head);
-            if (activeRequests.isClientRequestIdOpen(clientRequestId)) {
-                throw new MalformedMessageException(409, "a request with this id is open");
+            if (activeRequests.isClientRequestIdTaken(clientRequestId)) {
+                throw new MalformedMessageException(409, "a request with this id is open or may have run");
             }
             requestContext.clientRequestId = clientRequestId;
             if (connectionManager.accept(
