Connections to a server belong to one process: its id, address and start time

Reported from other deployments, found here by tests: after a restart under the same id and address, connections opened to the old process were used for the new one; a request that waited for a connection to an address that its server had left waited until the connect timeout.

Cause: pools were kept by id and address. The list's start time, the third sign of identity, was known to the module only. By reading: an outdated list, which is ignored otherwise, still replaced the addresses.

Change: ServerPools keeps a pool for one Target (address, start time) and retires it when the list gives the id another one: idle connections close, and what waits is decided on again. Ignored lists don't change targets.

The change for outdated lists has no test of its own.

--- a/core/src/main/java/thistlefall/serverlist/ServerListTracker.java
+++ b/core/src/main/java/thistlefall/serverlist/ServerListTracker.java
@@ -72,9 +72,19 @@
         return server != null && server.readiness() == Readiness.READY;
     }
 
+    /** Returns whether a response with this version is older than one that was applied, so that it is ignored. */
+    public boolean isOutdated(long index) {
+        return index < lastIndex;
+    }
+
+    /** Returns whether the list cached before this start may still be used. */
+    public boolean usesCachedList() {
+        return !sourceResponded;
+    }
+
     /** Applies the list cached before this start; ignored once the source has responded. */
     public ServerListChange applyCached(List<Server> entries) {
-        if (sourceResponded) {
+        if (!usesCachedList()) {
             return ServerListChange.NONE;
         }
         entries.forEach(server -> serversById.put(server.id(), server));
@@ -93,7 +103,7 @@
      *     reset, which the caller reports by {@link #sourceReset}
      */
     public ServerListChange applyFull(long now, long newIndex, List<Server> entries) {
-        if (newIndex < lastIndex) {
+        if (isOutdated(newIndex)) {
             return new ServerListChange(
                     null, List.of(), "server list: response " + newIndex + " is older than " + lastIndex);
         }
@@ -124,7 +134,7 @@
 
     /** Applies changed entries; a removed server is marked as gone. Single entries never need a confirmation. */
     public ServerListChange applyDelta(long newIndex, List<Server> entries) {
-        if (newIndex < lastIndex) {
+        if (isOutdated(newIndex)) {
             return new ServerListChange(
                     null, List.of(), "server list: changes " + newIndex + " are older than " + lastIndex);
         }
--- a/edge/src/main/java/thistlefall/edge/node/ServerListUpdater.java
+++ b/edge/src/main/java/thistlefall/edge/node/ServerListUpdater.java
@@ -65,22 +65,31 @@
 
     @Override
     public void fullList(long index, List<ServerEndpoint> endpoints) {
-        serverPools.updateAddresses(endpoints);
+        updateTargets(index, endpoints);
         applyChange(serverListTracker.applyFull(System.nanoTime(), index, toServers(endpoints)), index, endpoints);
     }
 
     @Override
     public void cachedList(List<ServerEndpoint> endpoints) {
-        serverPools.updateAddresses(endpoints);
+        if (serverListTracker.usesCachedList()) {
+            serverPools.updateTargets(endpoints);
+        }
         applyChange(serverListTracker.applyCached(toServers(endpoints)), 0, endpoints);
     }
 
     @Override
     public void delta(long index, List<ServerEndpoint> endpoints) {
-        serverPools.updateAddresses(endpoints);
+        updateTargets(index, endpoints);
         applyChange(serverListTracker.applyDelta(index, toServers(endpoints)), index, endpoints);
     }
 
+    /** An outdated response must not lead requests to the addresses of servers that have gone. */
+    private void updateTargets(long index, List<ServerEndpoint> endpoints) {
+        if (!serverListTracker.isOutdated(index)) {
+            serverPools.updateTargets(endpoints);
+        }
+    }
+
     private static List<Server> toServers(List<ServerEndpoint> endpoints) {
         return endpoints.stream().map(ServerEndpoint::server).toList();
     }
--- a/edge/src/main/java/thistlefall/edge/node/ServerPools.java
+++ b/edge/src/main/java/thistlefall/edge/node/ServerPools.java
@@ -19,7 +19,9 @@
 
 /**
  * The connection pools of the listed servers. A pool is created at first use and drained when its server drains or is
- * removed from the list. Also sends the probes. Confined to the node's event loop; durations are in nanoseconds.
+ * removed from the list. It belongs to one process at one address: when the list gives its id another address or
+ * start time, no connection of it is used again. Also sends the probes. Confined to the node's event loop; durations
+ * are in nanoseconds.
  */
 final class ServerPools {
     /** Receives the results of probes. */
@@ -28,6 +30,16 @@
         void probeCompleted(String serverId, Outcome outcome, long duration, List<Double> loadReport);
     }
 
+    /** The process that a pool connects to. */
+    private record Target(SocketAddress address, long startedAt) {
+        static Target of(ServerEndpoint endpoint) {
+            return new Target(endpoint.address(), endpoint.server().startedAt());
+        }
+    }
+
+    /** A pool and the process that it connects to. */
+    private record TargetPool(Target target, ServerConnectionPool pool) {}
+
     private static final long PROBE_TIMEOUT_NANOS = 250_000_000L;
 
     private final EventLoop eventLoop;
@@ -38,8 +50,8 @@
     private final List<String> loadReportNames;
     private final ProbeListener listener;
     private final ConnectionLimiter connectionLimiter;
-    private final Map<String, SocketAddress> addresses = new HashMap<>();
-    private final Map<String, ServerConnectionPool> pools = new HashMap<>();
+    private final Map<String, Target> targets = new HashMap<>();
+    private final Map<String, TargetPool> pools = new HashMap<>();
     /** The number of requested probes per server with a probe in flight; one response completes all of them. */
     private final Map<String, Integer> pendingProbes = new HashMap<>();
 
@@ -61,42 +73,48 @@
         this.listener = listener;
     }
 
-    /** Updates the servers' addresses from the entries of a list. */
-    void updateAddresses(List<ServerEndpoint> endpoints) {
-        endpoints.forEach(endpoint -> addresses.put(endpoint.server().id(), endpoint.address()));
+    /** Updates the servers' addresses and start times from the entries of a list. */
+    void updateTargets(List<ServerEndpoint> endpoints) {
+        endpoints.forEach(endpoint -> targets.put(endpoint.server().id(), Target.of(endpoint)));
     }
 
     /** Resumes, drains and removes pools according to the current server list. */
     void updateServers(List<Server> servers) {
         Map<String, Readiness> readinessById =
                 servers.stream().collect(Collectors.toMap(Server::id, Server::readiness));
-        pools.forEach((id, pool) -> {
-            if (readinessById.get(id) == Readiness.READY && pool.address().equals(addresses.get(id))) {
-                pool.resume();
+        pools.forEach((id, targetPool) -> {
+            if (readinessById.get(id) != Readiness.READY) {
+                targetPool.pool().drain();
+            } else if (targetPool.target().equals(targets.get(id))) {
+                targetPool.pool().resume();
             } else {
-                pool.drain();
+                targetPool.pool().retire();
             }
         });
-        pools.entrySet()
-                .removeIf(e -> e.getValue().connectionCount() == 0 && readinessById.get(e.getKey()) != Readiness.READY);
-        addresses.keySet().retainAll(readinessById.keySet());
+        pools.entrySet().removeIf(entry -> {
+            boolean ready = readinessById.get(entry.getKey()) == Readiness.READY;
+            return ready
+                    ? !entry.getValue().target().equals(targets.get(entry.getKey()))
+                    : entry.getValue().pool().connectionCount() == 0;
+        });
+        targets.keySet().retainAll(readinessById.keySet());
     }
 
     /** Returns the pool of a server, created if necessary; null if the server's address is unknown. */
     ServerConnectionPool poolFor(String serverId) {
-        SocketAddress address = addresses.get(serverId);
-        ServerConnectionPool pool = pools.get(serverId);
-        if (pool != null && (address == null || pool.address().equals(address))) {
-            return pool;
+        Target target = targets.get(serverId);
+        TargetPool existing = pools.get(serverId);
+        if (existing != null && (target == null || existing.target().equals(target))) {
+            return existing.pool();
         }
-        if (address == null) {
+        if (target == null) {
             return null;
         }
-        if (pool != null) {
-            pool.drain();
+        if (existing != null) {
+            existing.pool().retire();
         }
-        pool = new ServerConnectionPool(eventLoop, address, poolLimits, responseLimits, connectionLimiter);
-        pools.put(serverId, pool);
+        var pool = new ServerConnectionPool(eventLoop, target.address(), poolLimits, responseLimits, connectionLimiter);
+        pools.put(serverId, new TargetPool(target, pool));
         return pool;
     }
 
@@ -135,11 +153,11 @@
 
     int connections() {
         return pools.values().stream()
-                .mapToInt(ServerConnectionPool::connectionCount)
+                .mapToInt(targetPool -> targetPool.pool().connectionCount())
                 .sum();
     }
 
     void close() {
-        pools.values().forEach(ServerConnectionPool::close);
+        pools.values().forEach(targetPool -> targetPool.pool().close());
     }
 }
--- a/edge/src/main/java/thistlefall/edge/upstream/ServerConnectionPool.java
+++ b/edge/src/main/java/thistlefall/edge/upstream/ServerConnectionPool.java
@@ -12,6 +12,7 @@
 import java.util.ArrayDeque;
 import java.util.HashSet;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import thistlefall.attempt.EndReason;
@@ -71,6 +72,7 @@
     private final ArrayDeque<ServerConnection> idleConnections = new ArrayDeque<>();
 
     private final Set<ServerConnection> openConnections = new HashSet<>();
+    private final Set<PendingConnection> pendingConnections = new HashSet<>();
     private int connectsInProgress;
     private boolean draining;
     private boolean idleCheckScheduled;
@@ -199,6 +201,7 @@
             this.headRequest = headRequest;
             this.callback = callback;
             this.decoder = decoder;
+            pendingConnections.add(this);
             timeoutTask = limits.lateConnectTimeout() > limits.connectTimeout()
                     ? loop.schedule(
                             () -> notifyUnavailable(EndReason.CONNECT_OVERDUE),
@@ -218,6 +221,7 @@
         @Override
         public void operationComplete(ChannelFuture connectFuture) {
             connectsInProgress--;
+            pendingConnections.remove(this);
             if (timeoutTask != null) {
                 timeoutTask.cancel(false);
             }
@@ -303,6 +307,15 @@
         }
     }
 
+    /**
+     * Drains for good, because the server that this pool connects to is not the one that its id names any more.
+     * Requests that wait for a connection are told at once that there is none.
+     */
+    public void retire() {
+        drain();
+        List.copyOf(pendingConnections).forEach(pending -> pending.notifyUnavailable(EndReason.NO_PLACE));
+    }
+
     /** Ends a drain after the server has come back. */
     public void resume() {
         draining = false;
