Nothing accrues under a ceiling or in a quota behind requests that wait in the queue

Cause: units are taken when a request is admitted, and the gateway's part then filled again as if it had been sent; the rule counts it when it is sent. The overrun is the rate times the time in the queue. The quota did the same.

Change: units that wait fill their place: a part of a ceiling or a quota holds at most its burst less what waits, which is what the rule's store would hold if all of it were sent now. The first attempt or a refusal ends the wait. Units of a lease that has ended meanwhile are got again. Where nothing waits nothing changes.

Left: a request counts as sent with the decision, also if it then waits for its connection.

--- a/core/src/main/java/thistlefall/Gateway.java
+++ b/core/src/main/java/thistlefall/Gateway.java
@@ -520,14 +520,14 @@
             estimate.refill(now);
             double units = pendingRequest.request.units();
             // The ceiling holds whatever other gateways do: each spends only its own part and the units leased to it.
-            pendingRequest.localCeilingUnits = lease == null ? 0 : lease.trySpend(now, units);
-            if (pendingRequest.localCeilingUnits < 0 && !lease.leasingEnabled()) {
+            pendingRequest.ceilingGrant = lease == null ? null : lease.grant(now, units);
+            if (pendingRequest.lacksCeilingUnits() && !lease.leasingEnabled()) {
                 refuse(pendingRequest, lease.timeUntilAvailable(now, units) * SECONDS_PER_NANO, Reason.CEILING);
                 return;
             }
             takeUnits(units);
-            pendingRequest.tookUnits = true;
             pendingRequest.inQuota = true;
+            pendingRequest.setWaitingQuotaUnits(plan.rate() > 0 ? units : 0);
             boolean quotaBinding = plan.rate() > 0 && plan.overQuotaEarnings() <= plan.overQuotaCost();
             // If the quota is exceeded only because of the predicted use of the other gateways, the gateway requests a
             // total instead of refusing.
@@ -575,13 +575,12 @@
             double units = pendingRequest.request.units();
             pendingRequest.inQuota = plan.rate() <= 0 || estimate.units() >= minimumUnits;
             if (!pendingRequest.inQuota) {
+                pendingRequest.setWaitingQuotaUnits(0);
                 takeUnits(-units);
             }
             if (pendingRequest.inQuota || plan.overQuotaEarnings() > plan.overQuotaCost()) {
-                pendingRequest.awaitingCounter = pendingRequest.localCeilingUnits < 0;
-                if (pendingRequest.awaitingCounter) {
-                    leaseWaiters.add(pendingRequest);
-                    serveLeaseWaiters();
+                if (pendingRequest.lacksCeilingUnits()) {
+                    awaitCeilingUnits(pendingRequest);
                 } else {
                     enqueue(pendingRequest);
                 }
@@ -595,6 +594,19 @@
             }
         }
 
+        private void awaitCeilingUnits(PendingRequest pendingRequest) {
+            pendingRequest.awaitingCounter = true;
+            leaseWaiters.add(pendingRequest);
+            serveLeaseWaiters();
+        }
+
+        /** Gets units again for a request that has waited beyond the end of the lease that its units came from. */
+        void renewCeilingGrant(PendingRequest pendingRequest) {
+            lease.refund(now, pendingRequest.ceilingGrant);
+            pendingRequest.ceilingGrant = null;
+            awaitCeilingUnits(pendingRequest);
+        }
+
         /** Ends the wait of requests that can be decided on, and starts a lease call if one is needed. */
         private void serveLeaseWaiters() {
             CeilingLease.LeaseCall leaseCall =
@@ -737,8 +749,8 @@
         private final ClassQueue classQueue;
         private final long arrivedAt = now;
         private final double virtualTimeAtArrival = virtualTime;
-        /** Whether its units were taken from the quota on admission. */
-        private boolean tookUnits;
+        /** Units that it has taken from the quota and that wait with it to be sent. */
+        private double waitingQuotaUnits;
         /** Whether it waits for a counter total or for a lease. */
         private boolean awaitingCounter;
 
@@ -746,11 +758,8 @@
         private boolean countedAsStarted;
         /** Whether the client is gone. */
         private boolean abandoned;
-        /**
-         * Units taken from this gateway's local part of the ceiling, to be refunded if the request is never sent; below
-         * 0 while the request has not got its units.
-         */
-        private double localCeilingUnits;
+        /** What it may take from the ceiling when it is sent; null before it has got that, and without a ceiling. */
+        private CeilingLease.Grant ceilingGrant;
 
         /** Whether its first attempt measures the service time, so that the class's estimate does not refuse it. */
         private boolean measuresServiceTime;
@@ -791,13 +800,28 @@
             return abandoned || cannotMeetAim() ? now : aimDeadline() - 2 * TIMER_INTERVAL;
         }
 
+        boolean lacksCeilingUnits() {
+            return customer.lease != null && ceilingGrant == null;
+        }
+
+        /** Whether some of its units were leased and the lease has ended while it waited. */
+        boolean hasExpiredCeilingUnits() {
+            return attemptCount == 0 && ceilingGrant != null && now >= ceilingGrant.validUntil();
+        }
+
+        /** Sets how many units of the quota wait with it: all that it took until it is sent, then none. */
+        void setWaitingQuotaUnits(double units) {
+            customer.estimate.changeWaiting(units - waitingQuotaUnits);
+            waitingQuotaUnits = units;
+        }
+
         @Override
-        public void waitEnded(double ownUnits, long wait) {
-            localCeilingUnits = ownUnits;
+        public void waitEnded(CeilingLease.Grant grant, long wait) {
+            ceilingGrant = grant;
             awaitingCounter = false;
             if (abandoned) {
                 finishRequest(this);
-            } else if (localCeilingUnits >= 0) {
+            } else if (ceilingGrant != null) {
                 enqueue(this);
             } else {
                 customer.refuse(this, wait * SECONDS_PER_NANO, Reason.CEILING);
@@ -1026,6 +1050,11 @@
                 refuseOrFail(pendingRequest, Reason.QUEUE);
                 continue;
             }
+            if (pendingRequest.hasExpiredCeilingUnits()) {
+                nextQueue.requests.remove(pendingRequest);
+                pendingRequest.customer.renewCeilingGrant(pendingRequest);
+                continue;
+            }
             ServerState server = chooseServer(pendingRequest);
             if (server == null) {
                 return;
@@ -1595,6 +1624,7 @@
         sentWorkUpdatedAt = now;
         if (pendingRequest.attemptCount == 0) {
             retryTokens = Math.min(MAX_RETRY_TOKENS, retryTokens + RETRY_TOKENS_PER_REQUEST);
+            endWaitOfUnits(pendingRequest);
         }
         pendingRequest.customer.startedRequests += pendingRequest.countedAsStarted ? 0 : 1;
         pendingRequest.countedAsStarted = true;
@@ -1611,6 +1641,14 @@
         host.send(pendingRequest.request.id(), server.id, timeout, latestSendTime(pendingRequest, server));
     }
 
+    /** With the first attempt a request's units count as used, and others can accrue in their place. */
+    private void endWaitOfUnits(PendingRequest pendingRequest) {
+        pendingRequest.setWaitingQuotaUnits(0);
+        if (pendingRequest.ceilingGrant != null) {
+            pendingRequest.customer.lease.sent(now, pendingRequest.ceilingGrant);
+        }
+    }
+
     /** Returns until when this attempt may be sent: what has allowed it may end while it waits for a connection. */
     private long latestSendTime(PendingRequest pendingRequest, ServerState server) {
         long latest = pendingRequest.giveUpTime();
@@ -1661,11 +1699,12 @@
     /** Removes a request; the units it took are given back if it was never sent. */
     private void finishRequest(PendingRequest pendingRequest) {
         pendingRequests.remove(pendingRequest.request.id());
-        if (pendingRequest.attemptCount == 0 && pendingRequest.tookUnits) {
-            if (pendingRequest.localCeilingUnits > 0) {
-                pendingRequest.customer.lease.refund(now, pendingRequest.localCeilingUnits);
+        if (pendingRequest.attemptCount == 0) {
+            if (pendingRequest.ceilingGrant != null) {
+                pendingRequest.customer.lease.refund(now, pendingRequest.ceilingGrant);
             }
             if (pendingRequest.inQuota) {
+                pendingRequest.setWaitingQuotaUnits(0);
                 pendingRequest.customer.takeUnits(-pendingRequest.request.units());
             }
         }
--- a/core/src/main/java/thistlefall/lease/CeilingLease.java
+++ b/core/src/main/java/thistlefall/lease/CeilingLease.java
@@ -47,6 +47,14 @@
      */
     public record LeaseCall(long serial, long account, double amount, long lifetime) {}
 
+    /**
+     * Units that a request may take from the ceiling when it is sent.
+     *
+     * @param localUnits the part of them that comes from the local part
+     * @param validUntil when the rest, which was leased, expires; {@code Long.MAX_VALUE} if nothing was
+     */
+    public record Grant(double localUnits, long validUntil) {}
+
     private enum LeaseStep {
         NONE,
         DRAW,
@@ -68,6 +76,9 @@
 
     private double localUnits;
     private long localUnitsAt;
+    /** Units of the local part that are granted to requests which have not been sent yet. */
+    private double grantedUnits;
+
     private double leasedUnits;
     private long leaseExpiresAt;
     private double spendRate;
@@ -172,7 +183,7 @@
     /**
      * Spends units if enough are available now.
      *
-     * @return the units taken from the local part, which may be refunded; below 0 if there are not enough
+     * @return the units taken from the local part; below 0 if there are not enough
      */
     public double trySpend(long now, double units) {
         advance(now);
@@ -186,10 +197,32 @@
         return units - fromLease;
     }
 
-    /** Returns units to the local part that were spent on a request that was never sent. */
-    public void refund(long now, double unitsToRefund) {
+    /**
+     * Grants units, if enough are available, to a request that is sent later. As long as it waits, they fill their
+     * place in the local part: nothing accrues in it, as nothing would in a part that is full.
+     *
+     * @return the grant, which ends by {@link #sent} or {@link #refund}; null if there are not enough units
+     */
+    public Grant grant(long now, double units) {
+        double localPart = trySpend(now, units);
+        if (localPart < 0) {
+            return null;
+        }
+        grantedUnits += localPart;
+        return new Grant(localPart, localPart < units ? leaseExpiresAt : Long.MAX_VALUE);
+    }
+
+    /** Ends a grant because its request is sent now. */
+    public void sent(long now, Grant grant) {
+        advance(now);
+        grantedUnits = Math.max(0, grantedUnits - grant.localUnits());
+    }
+
+    /** Ends a grant because its request is not sent: the units of the local part are available again. */
+    public void refund(long now, Grant grant) {
         advance(now);
-        localUnits = Math.min(parameters.localBurst(), localUnits + unitsToRefund);
+        grantedUnits = Math.max(0, grantedUnits - grant.localUnits());
+        localUnits = Math.min(parameters.localBurst() - grantedUnits, localUnits + grant.localUnits());
     }
 
     /** Estimates the time until the units can be spent if no other gateway draws, in nanoseconds. */
@@ -396,7 +429,7 @@
 
     private void advance(long now) {
         localUnits = Math.min(
-                parameters.localBurst(),
+                parameters.localBurst() - grantedUnits,
                 localUnits + parameters.localRate() * Math.max(0, now - localUnitsAt) * SECONDS_PER_NANO);
         localUnitsAt = Math.max(localUnitsAt, now);
         spendRate *= Math.exp(-Math.max(0, now - spendRateAt) / (double) SPEND_RATE_TIME_CONSTANT);
--- a/core/src/main/java/thistlefall/lease/LeaseWaitQueue.java
+++ b/core/src/main/java/thistlefall/lease/LeaseWaitQueue.java
@@ -36,11 +36,11 @@
             LeaseWaiter waiter = iterator.next();
             double units = waiter.units();
             boolean stillWaiting = waiter.waitDeadline() > now;
-            double localUnits = stillWaiting && missingUnits == 0 ? lease.trySpend(now, units) : -1;
+            CeilingLease.Grant grant = stillWaiting && missingUnits == 0 ? lease.grant(now, units) : null;
             long estimatedWait = lease.timeUntilAvailable(now, missingUnits + units);
-            if (localUnits >= 0 || !stillWaiting || waiter.waitDeadline() - now <= estimatedWait) {
+            if (grant != null || !stillWaiting || waiter.waitDeadline() - now <= estimatedWait) {
                 iterator.remove();
-                completions.add(() -> waiter.waitEnded(localUnits, estimatedWait));
+                completions.add(() -> waiter.waitEnded(grant, estimatedWait));
             } else {
                 missingUnits += units;
             }
--- a/core/src/main/java/thistlefall/lease/LeaseWaiter.java
+++ b/core/src/main/java/thistlefall/lease/LeaseWaiter.java
@@ -11,8 +11,8 @@
     /**
      * Called when the wait has ended, with or without the units.
      *
-     * @param localUnits units taken from the gateway's local part; below 0 if the request did not get its units in time
+     * @param grant the units that it got; null if it did not get them in time
      * @param estimatedWait the estimated time until it could be served, nanoseconds
      */
-    void waitEnded(double localUnits, long estimatedWait);
+    void waitEnded(CeilingLease.Grant grant, long estimatedWait);
 }
--- a/core/src/main/java/thistlefall/quota/QuotaEstimate.java
+++ b/core/src/main/java/thistlefall/quota/QuotaEstimate.java
@@ -34,6 +34,9 @@
     private final double largestRequest;
     private final long windowDuration;
     private double units;
+    /** Units already taken for requests that have not been sent yet. */
+    private double waitingUnits;
+
     private double othersRate;
     private double ownRate;
     /** Use of the others predicted since the last report. */
@@ -115,6 +118,19 @@
         ownRate += amount / RATE_TIME_CONSTANT_SECONDS;
     }
 
+    /**
+     * Changes by how much has been taken for requests that wait to be sent. As long as they wait, their units fill
+     * their place in the quota: nothing accrues in it, as nothing would in a quota that is full.
+     */
+    public void changeWaiting(double amount) {
+        waitingUnits = Math.max(0, waitingUnits + amount);
+    }
+
+    /** The most units that the quota can hold beside those that wait. */
+    private double capacity() {
+        return burst - waitingUnits;
+    }
+
     /**
      * Returns the share of the quota that this gateway may spend without reports. It is the gateway's share of the
      * customer's use as of the last report, including an equal share of assumed unreported use. If the last report was
@@ -148,7 +164,7 @@
         predictedUse += othersUse;
         units += seconds * rate - othersUse;
         unitsLostAtBurst += Math.max(0, units - burst);
-        units = Math.min(burst, units);
+        units = Math.min(capacity(), units);
     }
 
     /**
@@ -169,7 +185,7 @@
 
     /** Replaces the predicted use at the end of the previous window with the reported one. */
     public void correctLastWindow(double reportedUse) {
-        units = Math.max(Math.min(burst, units - (reportedUse - predictedWindowEndUse)), -largestRequest);
+        units = Math.max(Math.min(capacity(), units - (reportedUse - predictedWindowEndUse)), -largestRequest);
         predictedWindowEndUse = 0;
     }
 
@@ -212,7 +228,7 @@
         }
         // Requests sent beyond the quota take no units from it, so the estimate is kept at or above minus one largest
         // request.
-        units = Math.max(Math.min(burst, units - correction), -largestRequest);
+        units = Math.max(Math.min(capacity(), units - correction), -largestRequest);
         predictedUse = 0;
         unitsLostAtBurst = 0;
     }
