Tests: a new counter or discovery at the address of an old one that is silent

The old process stops listening, its open connection stays and says nothing, and a new one listens at its address.

--- a/standin/src/main/java/thistlefall/standin/net/StandinHttpServer.java
+++ b/standin/src/main/java/thistlefall/standin/net/StandinHttpServer.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -200,12 +201,20 @@
         address = (InetSocketAddress) listener.localAddress();
     }
 
-    /** Stops listening and resets every connection, as happens when a process is killed. */
-    public final void kill() {
+    /** Takes no further connections; open ones stay. */
+    public final void stopListening() {
         if (listener != null) {
-            listener.close();
+            ChannelFuture closed = listener.close();
             listener = null;
+            if (!loop.inEventLoop()) {
+                closed.syncUninterruptibly();
+            }
         }
+    }
+
+    /** Stops listening and resets every connection, as happens when a process is killed. */
+    public final void kill() {
+        stopListening();
         // Each channel is reset on its own event loop. On another thread the socket could be closed between the check
         // whether it is active and setting its linger option.
         openConnections.forEach(channel -> {
--- a/standin/src/main/java/thistlefall/standin/platform/PlatformCounterServer.java
+++ b/standin/src/main/java/thistlefall/standin/platform/PlatformCounterServer.java
@@ -65,6 +65,11 @@
 
     /** Listens on a free port and returns its address. Must not be called on the event loop. */
     public InetSocketAddress listen() {
+        return listen(0);
+    }
+
+    /** Listens on a port of 127.0.0.1, which another server may have stopped listening on; 0 for any free port. */
+    public InetSocketAddress listen(int port) {
         listener = new ServerBootstrap()
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
@@ -77,7 +82,8 @@
                         channel.pipeline().addLast(new CommandDecoder());
                     }
                 })
-                .bind("127.0.0.1", 0)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .bind("127.0.0.1", port)
                 .syncUninterruptibly()
                 .channel();
         return (InetSocketAddress) listener.localAddress();
