--- a/cli/src/test/java/thistlefall/cli/NodeProcess.java
+++ b/cli/src/test/java/thistlefall/cli/NodeProcess.java
@@ -12,13 +12,13 @@
 import java.util.function.BooleanSupplier;
 
 /** Runs a platform node as a process, with its log and its temporary files in a folder of the test. */
-final class NodeProcess {
+public final class NodeProcess {
     private static final long CONDITION_TIMEOUT_SECONDS = 40;
 
     private NodeProcess() {}
 
     /** Starts the process; {@code config} is the value of {@code EDGE_CONFIG}, null for none. */
-    static Process start(Path folder, String config, List<String> jvmOptions) throws IOException {
+    public static Process start(Path folder, String config, List<String> jvmOptions) throws IOException {
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(jvmOptions);
@@ -34,7 +34,7 @@
                 .start();
     }
 
-    static String readLog(Path folder) {
+    public static String readLog(Path folder) {
         try {
             return Files.readString(folder.resolve("log"));
         } catch (IOException e) {
@@ -42,7 +42,7 @@
         }
     }
 
-    static void sendSignal(Process process, String signalName) throws Exception {
+    public static void sendSignal(Process process, String signalName) throws Exception {
         assertEquals(
                 0,
                 new ProcessBuilder("kill", "-" + signalName, Long.toString(process.pid()))
@@ -50,7 +50,7 @@
                         .waitFor());
     }
 
-    static void awaitCondition(BooleanSupplier condition) {
+    public static void awaitCondition(BooleanSupplier condition) {
         long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(CONDITION_TIMEOUT_SECONDS);
         while (!condition.getAsBoolean()) {
             if (System.nanoTime() > deadlineNanos) {
--- /dev/null
+++ b/cli/src/test/java/thistlefall/cli/fault/NodeUnderTest.java
@@ -0,0 +1,111 @@
+package thistlefall.cli.fault;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.function.UnaryOperator;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import thistlefall.cli.NodeProcess;
+import thistlefall.standin.platform.PlatformEnvironment;
+
+/** A node in a process of its own, with the options of the deployment, among servers that the test scripts. */
+final class NodeUnderTest implements AutoCloseable {
+    private final Path folder;
+    private final Path configFile;
+    private final PlatformEnvironment environment = new PlatformEnvironment(0);
+    private Process process;
+
+    /** Starts a node that knows these servers; its configuration file is changed before it is read. */
+    NodeUnderTest(Path folder, List<ScriptedServer> servers, UnaryOperator<String> configChange) throws Exception {
+        this.folder = folder;
+        configFile = folder.resolve("config.json");
+        environment
+                .discovery()
+                .sendFullList(servers.stream().map(ScriptedServer::entry).toList());
+        environment.configure(configFile);
+        Files.writeString(configFile, configChange.apply(Files.readString(configFile)));
+        start();
+    }
+
+    /** Starts the process, or the next one at the same address, and waits until it is ready. */
+    void start() throws IOException {
+        process = NodeProcess.start(folder, configFile.toString(), List.of("@../deploy/platform.options"));
+        NodeProcess.awaitCondition(() -> isReady() || !process.isAlive());
+        assertTrue(process.isAlive(), this::log);
+    }
+
+    InetSocketAddress address() {
+        return environment.node();
+    }
+
+    Process process() {
+        return process;
+    }
+
+    String log() {
+        return NodeProcess.readLog(folder);
+    }
+
+    /** Returns a count from the node's last log line of counts. */
+    long loggedCount(String name) {
+        Matcher count = Pattern.compile("\\b" + name + "=(\\d+)").matcher(log());
+        long last = 0;
+        while (count.find()) {
+            last = Long.parseLong(count.group(1));
+        }
+        return last;
+    }
+
+    void signal(String name) throws Exception {
+        NodeProcess.sendSignal(process, name);
+    }
+
+    /** Stops the process, as the machine may at any moment, and returns once it has stopped. */
+    void holdUp() throws Exception {
+        signal("STOP");
+        NodeProcess.awaitCondition(this::isStopped);
+    }
+
+    void resume() throws Exception {
+        signal("CONT");
+    }
+
+    private boolean isStopped() {
+        try {
+            return Files.readString(Path.of("/proc", Long.toString(process.pid()), "status"))
+                    .contains("State:\tT");
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private boolean isReady() {
+        try (Socket socket = new Socket(address().getAddress(), address().getPort())) {
+            socket.setSoTimeout(10_000);
+            socket.getOutputStream()
+                    .write("GET /health/ready HTTP/1.1\r\nHost: n0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            return new String(socket.getInputStream().readNBytes(12), StandardCharsets.US_ASCII).equals("HTTP/1.1 200");
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Ends the process as an operator would, and waits until it has ended. */
+    void stop() throws Exception {
+        signal("TERM");
+        process.waitFor();
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly();
+        environment.close();
+    }
+}
