Log the ends of attempts, answers and departures of requests that may have run

Change: AttemptLog, taken out of ActionExecutor, has four lines with the ids of node and client: sent again, attempt ended, answered after a possible run, client left. Safe requests are counted only; attempts are counted by outcome.

Result: the tests of departed clients, repeated ids and late connections pass.

--- a/edge/src/main/java/thistlefall/edge/node/ActionExecutor.java
+++ b/edge/src/main/java/thistlefall/edge/node/ActionExecutor.java
@@ -10,10 +10,8 @@
 import thistlefall.Ports;
 import thistlefall.Ports.Outcome;
 import thistlefall.Ports.Reason;
-import thistlefall.Ports.Repeat;
 import thistlefall.Ports.Request;
 import thistlefall.Ports.Result;
-import thistlefall.attempt.SendPermission;
 import thistlefall.clock.MonotonicWallClock;
 import thistlefall.edge.http.HttpFields;
 import thistlefall.edge.upstream.ServerConnectionPool;
@@ -26,8 +24,6 @@
  * calls and timers. Confined to the node's event loop. Durations and times are in nanoseconds.
  */
 final class ActionExecutor implements Ports.Actions {
-    private static final long NANOS_PER_MILLI = 1_000_000L;
-
     private final String nodeName;
     private final EventLoop eventLoop;
     private final Logger log;
@@ -40,6 +36,7 @@
     private final ModuleHost moduleHost;
     private final Map<RequestContext, Request> requestsDeferredByStall = new HashMap<>();
     private final Dialect dialect;
+    private final AttemptLog attemptLog;
     private RequestResolver resolver;
     private CounterDispatcher counter;
     private ClientConnectionManager connectionManager;
@@ -66,6 +63,7 @@
         this.settings = settings;
         this.serverPools = serverPools;
         this.dialect = dialect;
+        attemptLog = new AttemptLog(nodeName, settings.classes(), log, metrics);
         moduleHost = new ModuleHost(log, this::onModuleException);
     }
 
@@ -233,28 +231,8 @@
         metrics.withdrawnSends++;
     }
 
-    /** Logs an attempt that is sent although an earlier one may have run, so that its times can be followed. */
-    void logRepeat(RequestContext requestContext, Attempt attempt, SendPermission sendPermission) {
-        Attempt possibleRun = requestContext.possibleRun;
-        Repeat repeat =
-                settings.classes().get(requestContext.descriptor.requestClass()).repeat();
-        if (possibleRun == null || repeat == Repeat.SAFE) {
-            return;
-        }
-        long now = System.nanoTime();
-        log.atInfo()
-                .addKeyValue("node", nodeName)
-                .addKeyValue("request", requestContext.trackedRequest.id())
-                .addKeyValue("client_request", requestContext.clientRequestId)
-                .addKeyValue("class", requestContext.descriptor.className())
-                .addKeyValue("server", attempt.serverId())
-                .addKeyValue("attempt", attempt.number() + 1)
-                .addKeyValue("waited_ms", attempt.timeToSend() / NANOS_PER_MILLI)
-                .addKeyValue("may_be_sent_for_ms", sendPermission.remaining(now) / NANOS_PER_MILLI)
-                .addKeyValue("may_have_run_at", possibleRun.serverId())
-                .addKeyValue("decided_ms_ago", (now - possibleRun.startedAt()) / NANOS_PER_MILLI)
-                .addKeyValue("sent_ms_after_that", possibleRun.timeToSend() / NANOS_PER_MILLI)
-                .log("sent again");
+    AttemptLog attemptLog() {
+        return attemptLog;
     }
 
     private void reportNotSent(RequestContext requestContext, String serverId, int attemptNumber) {
--- a/edge/src/main/java/thistlefall/edge/node/ActiveRequests.java
+++ b/edge/src/main/java/thistlefall/edge/node/ActiveRequests.java
@@ -34,6 +34,7 @@
     /** The ids of clients that left while their requests may have run. */
     private final DepartedRequestIds departedRequestIds = new DepartedRequestIds(MAX_DEPARTED_IDS);
 
+    private AttemptLog attemptLog;
     private long completedCount;
 
     ActiveRequests(
@@ -51,6 +52,11 @@
         this.logEvery = logEvery;
     }
 
+    /** Sets the log of attempts, which is created after this object. */
+    void setAttemptLog(AttemptLog newAttemptLog) {
+        attemptLog = newAttemptLog;
+    }
+
     /** Returns the unfinished request with this id, or null. */
     RequestContext find(String requestId) {
         return contextsById.get(requestId);
@@ -131,6 +137,7 @@
             metrics.failed++;
         }
         logCompletion(requestContext, completedKind);
+        attemptLog.answered(requestContext, completedKind);
         if (interceptor.deliversResponse(completedKind)) {
             requestContext.clientConnection.sendProblem(
                     requestContext,
@@ -143,6 +150,7 @@
 
     /** Records that the client disconnected, so that no response is needed any more. */
     void clientGone(RequestContext requestContext) {
+        attemptLog.clientLeft(requestContext);
         requestTracker.clientGone(requestContext.trackedRequest);
     }
 
--- a/edge/src/main/java/thistlefall/edge/node/Attempt.java
+++ b/edge/src/main/java/thistlefall/edge/node/Attempt.java
@@ -80,6 +80,10 @@
         return (writtenAt == 0 ? System.nanoTime() : writtenAt) - startedAt;
     }
 
+    AttemptProgress progress() {
+        return progress;
+    }
+
     /** Returns when the attempt was decided on, by the monotonic clock. */
     long startedAt() {
         return startedAt;
@@ -107,7 +111,7 @@
             return;
         }
         connection = acquiredConnection;
-        executor.logRepeat(requestContext, this, sendPermission);
+        executor.attemptLog().sentAgain(requestContext, this, sendPermission);
         progress = AttemptProgress.CONNECTED;
         MessageHead.RequestHead request = requestContext.head;
         Channel channel = acquiredConnection.channel();
@@ -300,7 +304,7 @@
             readPaused = true;
             connection.setAutoRead(false);
             // The client is slow, not the server. Report now, so that the module sees the time the server took.
-            reportOutcome(Outcome.OK);
+            reportOutcome(Outcome.OK, EndReason.ANSWER);
         }
     }
 
@@ -379,14 +383,15 @@
         if (forwarding && progress != AttemptProgress.COMPLETE) {
             requestContext.clientConnection.abortResponse(requestContext);
         }
-        reportOutcome(OutcomeClassifier.classify(progress, endReason, classifyResponse()));
+        reportOutcome(OutcomeClassifier.classify(progress, endReason, classifyResponse()), endReason);
     }
 
-    private void reportOutcome(Outcome outcome) {
+    private void reportOutcome(Outcome outcome, EndReason endReason) {
         if (outcomeReported) {
             return;
         }
         outcomeReported = true;
+        executor.attemptLog().ended(requestContext, this, outcome, endReason, progress);
         List<Double> loadReport = head == null ? List.of() : executor.loadReport(head.fields());
         double trueUnits = head == null ? 0 : executor.dialect().trueUnits(head.fields());
         executor.attemptEnded(
--- a/edge/src/main/java/thistlefall/edge/node/NodeMetrics.java
+++ b/edge/src/main/java/thistlefall/edge/node/NodeMetrics.java
@@ -1,7 +1,9 @@
 package thistlefall.edge.node;
 
 import java.util.LinkedHashMap;
+import java.util.Locale;
 import java.util.Map;
+import thistlefall.Ports.Outcome;
 import thistlefall.request.FailureCause;
 
 /**
@@ -31,6 +33,7 @@
     long idleConnectionsClosed;
     long connectionsThatGaveWay;
     long readingPaused;
+    private final long[] attemptsByOutcome = new long[Outcome.values().length];
     private final long[] refusedByCause = new long[FailureCause.values().length];
 
     NodeMetrics() {}
@@ -40,7 +43,14 @@
         refusedByCause[cause.ordinal()]++;
     }
 
-    /** Returns the counts by name in a fixed order; refusals are included per cause only if there are any. */
+    void countAttemptEnd(Outcome outcome) {
+        attemptsByOutcome[outcome.ordinal()]++;
+    }
+
+    /**
+     * Returns the counts by name in a fixed order; attempts per outcome and refusals per cause are included only if
+     * there are any.
+     */
     public Map<String, Long> asMap() {
         var map = new LinkedHashMap<String, Long>();
         map.put("requests", requests);
@@ -66,6 +76,11 @@
         map.put("idle_closed", idleConnectionsClosed);
         map.put("gave_way", connectionsThatGaveWay);
         map.put("reading_paused", readingPaused);
+        for (Outcome outcome : Outcome.values()) {
+            if (attemptsByOutcome[outcome.ordinal()] > 0) {
+                map.put("attempts_" + outcome.name().toLowerCase(Locale.ROOT), attemptsByOutcome[outcome.ordinal()]);
+            }
+        }
         for (FailureCause cause : FailureCause.values()) {
             if (refusedByCause[cause.ordinal()] > 0) {
                 map.put("refused_" + cause.code().replace('-', '_'), refusedByCause[cause.ordinal()]);
--- a/edge/src/main/java/thistlefall/edge/node/NodeRuntime.java
+++ b/edge/src/main/java/thistlefall/edge/node/NodeRuntime.java
@@ -69,6 +69,7 @@
                 definition.serviceFactory().counterService(eventLoop, random.nextLong()),
                 metrics,
                 executor::counterCallCompleted);
+        activeRequests.setAttemptLog(executor.attemptLog());
         connectionManager.setCollaborators(resolver, executor);
         executor.setCollaborators(connectionManager, resolver, counterDispatcher);
         eventLoop.execute(() -> {
