A server that moves or restarts under waiting requests no longer breaks the watch

What was seen: "a connection was closed by an unexpected error", a ConcurrentModificationException in ServerPools.updateServers; the watch of discovery ended and the change did not reach the module before the next one.

Cause: retiring a pool tells its waiting requests at once that there is no connection; the module sends them elsewhere, which creates a pool while the pools are walked over.

Change: pools are retired when the table is complete again, so the calls that this causes find it so.

--- a/edge/src/main/java/thistlefall/edge/node/ServerPools.java
+++ b/edge/src/main/java/thistlefall/edge/node/ServerPools.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.net.SocketAddress;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -82,13 +83,14 @@
     void updateServers(List<Server> servers) {
         Map<String, Readiness> readinessById =
                 servers.stream().collect(Collectors.toMap(Server::id, Server::readiness));
+        List<ServerConnectionPool> retiredPools = new ArrayList<>();
         pools.forEach((id, targetPool) -> {
             if (readinessById.get(id) != Readiness.READY) {
                 targetPool.pool().drain();
             } else if (targetPool.target().equals(targets.get(id))) {
                 targetPool.pool().resume();
             } else {
-                targetPool.pool().retire();
+                retiredPools.add(targetPool.pool());
             }
         });
         pools.entrySet().removeIf(entry -> {
@@ -98,6 +100,8 @@
                     : entry.getValue().pool().connectionCount() == 0;
         });
         targets.keySet().retainAll(readinessById.keySet());
+        // Their waiting requests go elsewhere at once, which may create pools.
+        retiredPools.forEach(ServerConnectionPool::retire);
     }
 
     /** Returns the pool of a server, created if necessary; null if the server's address is unknown. */
