Nothing is begun or sent for a client whose close may lie unread in the kernel

Cause: a client is read in turns of 16 KiB and its requests begin in the same turn, before the close behind them has been read. Retries and requests that waited for a connection are sent on events that the loop may handle before the client's.

Change: ClientPresence asks the client's socket, unless it was asked within 10 ms: before a request begins (the rest is read first, in turns as before) and directly before the first byte of every attempt. One byte may be read ahead for that. A client that never stops sending is refused after the time for a head.

Why it works: an empty socket proves that no close was there at that moment, in whatever order the loop handles what a hold-up has left.

--- a/edge/src/main/java/thistlefall/edge/node/ActionExecutor.java
+++ b/edge/src/main/java/thistlefall/edge/node/ActionExecutor.java
@@ -226,6 +226,11 @@
         metrics.lateSends++;
     }
 
+    /** Counts a request that was not sent because its client's close lay unread in the socket. */
+    void countDepartureFoundAtSend() {
+        metrics.departuresFoundAtSend++;
+    }
+
     /** Counts an attempt that was taken back before it was sent. */
     void countWithdrawnSend() {
         metrics.withdrawnSends++;
--- a/edge/src/main/java/thistlefall/edge/node/Attempt.java
+++ b/edge/src/main/java/thistlefall/edge/node/Attempt.java
@@ -34,6 +34,7 @@
     private final String serverId;
     private final int number;
     private final long startedAt = System.nanoTime();
+    private ServerConnectionPool pool;
     private SendPermission sendPermission;
     /** When the request was handed to the socket as a whole; 0 before that. */
     private long writtenAt;
@@ -46,6 +47,9 @@
     /** The bytes of the request that the server's socket has not accepted yet, if it is written as a whole. */
     private int unsentBytes;
 
+    /** Whether it waits until the input of its client has been read, so that a close behind it is known. */
+    private boolean waitsForClientInput;
+
     private boolean clientGone;
     private boolean forwarding;
     private boolean readPaused;
@@ -90,7 +94,8 @@
     }
 
     /** Begins the attempt, which ends after {@code timeout} and may be sent for {@code sendTime}. */
-    void start(ServerConnectionPool pool, long timeout, long sendTime) {
+    void start(ServerConnectionPool serverPool, long timeout, long sendTime) {
+        pool = serverPool;
         deadlineTimeout = executor.eventLoopTimer().schedule(timeout, () -> end(EndReason.OVERDUE));
         sendPermission = new SendPermission(startedAt + Math.min(timeout, sendTime));
         if (sendTime < timeout) {
@@ -99,7 +104,7 @@
         if (number == 0) {
             requestContext.clientConnection.sendContinue(requestContext);
         }
-        pool.acquire(this, requestContext.head.method().equals("HEAD"), this);
+        acquireConnection();
     }
 
     @Override
@@ -110,6 +115,36 @@
             end(EndReason.NOT_STARTED);
             return;
         }
+        switch (requestContext.clientConnection.presence()) {
+            case PRESENT -> send(acquiredConnection);
+            case LEFT -> {
+                acquiredConnection.release();
+                executor.countDepartureFoundAtSend();
+                requestContext.clientConnection.clientLeft();
+            }
+            case UNKNOWN -> {
+                acquiredConnection.release();
+                waitsForClientInput = true;
+            }
+        }
+    }
+
+    /** Continues an attempt that waits until the input of its client has been read. */
+    void clientInputRead() {
+        if (!waitsForClientInput
+                || ended
+                || requestContext.clientConnection.presence() == ClientPresence.State.UNKNOWN) {
+            return;
+        }
+        waitsForClientInput = false;
+        acquireConnection();
+    }
+
+    private void acquireConnection() {
+        pool.acquire(this, requestContext.head.method().equals("HEAD"), this);
+    }
+
+    private void send(ServerConnection acquiredConnection) {
         connection = acquiredConnection;
         executor.attemptLog().sentAgain(requestContext, this, sendPermission);
         progress = AttemptProgress.CONNECTED;
@@ -127,7 +162,7 @@
         }
     }
 
-    /** The only check between the decision for the attempt and its first byte, directly before that byte. */
+    /** Whether what the decision for the attempt relied on still holds; asked directly before its first byte. */
     private boolean maySendNow() {
         boolean inTime = sendPermission.holdsAt(System.nanoTime());
         if (!inTime) {
--- a/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
@@ -50,6 +50,7 @@
     private final RequestDecoder decoder;
     private final RequestPipeline pendingRequests;
     private final MemoryBudget.Account memory;
+    private final ClientPresence presence = new ClientPresence();
     private Channel channel;
     private RequestContext receivingRequest;
     /** The surplus request whose body is being received and discarded; null otherwise. */
@@ -92,6 +93,7 @@
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         channel = context.channel();
+        presence.setChannel(channel);
         openedAt = System.nanoTime();
         updateIdle();
     }
@@ -248,6 +250,40 @@
         if (awaitsFirstRequest || !shutOutputIfFinished()) {
             updateIdle();
         }
+        continueAfterRead();
+    }
+
+    /** Goes on with the request that waits until the client's input has been read. */
+    private void continueAfterRead() {
+        if (presence.isUnknownForLongerThan(limits.headTimeout().toNanos())) {
+            refuseUndispatched();
+        }
+        dispatchPending();
+        RequestContext firstPending = pendingRequests.first();
+        if (firstPending != null && firstPending.currentAttempt != null) {
+            firstPending.currentAttempt.clientInputRead();
+        }
+    }
+
+    /** Refuses the complete requests of a client that does not stop sending, so that they could not be begun. */
+    private void refuseUndispatched() {
+        for (RequestContext requestContext : pendingRequests.convertUndispatchedToSurplus()) {
+            requestContext.body.release();
+            connectionManager.countSurplusRequest(FailureCause.PIPELINED);
+        }
+        updateMemory();
+        writeDueRefusals();
+    }
+
+    /** Returns what is known of the client; one that may pipeline counts as present until its close has been read. */
+    ClientPresence.State presence() {
+        return dialect.allowsPipelining() ? ClientPresence.State.PRESENT : presence.state();
+    }
+
+    /** Handles the close of the client before the event loop has read it. */
+    void clientLeft() {
+        endRequests();
+        channel.close();
     }
 
     private void updateUndecodedBytes() {
@@ -282,8 +318,8 @@
     }
 
     /**
-     * Dispatches the first pending request, unless that has already happened or the client has not read earlier
-     * responses.
+     * Dispatches the first pending request, unless that has already happened, the client has not read earlier
+     * responses, or it may have left.
      */
     private void dispatchPending() {
         if (dispatching) {
@@ -299,7 +335,8 @@
                     && pendingRequests.dueRefusals() == 0
                     && !firstPending.resolutionStarted
                     && !firstPending.responseStarted
-                    && (firstPending.body.isComplete() || !dialect.buffersRequests())) {
+                    && (firstPending.body.isComplete() || !dialect.buffersRequests())
+                    && presence() == ClientPresence.State.PRESENT) {
                 connectionManager.resolveRequest(firstPending);
                 firstPending = pendingRequests.first();
             }
@@ -636,16 +673,21 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        lifecycle.noMoreRequests();
+        endRequests();
         timer.cancel(receiveTimer);
         timer.cancel(idleTimer);
         timer.cancel(stallTimer);
-        receivingRequest = null;
-        pendingRequests.removeAll().forEach(connectionManager::clientGone);
         memory.close();
         connectionManager.connectionClosed(this);
     }
 
+    /** Ends all requests, because nobody is there to get their responses. */
+    private void endRequests() {
+        lifecycle.noMoreRequests();
+        receivingRequest = null;
+        pendingRequests.removeAll().forEach(connectionManager::clientGone);
+    }
+
     /** Closes the connection after its next response; one that has had a request and is idle now closes at once. */
     void closeAfterNextResponse() {
         lifecycle.beginClose();
--- a/edge/src/main/java/thistlefall/edge/node/ClientConnectionManager.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientConnectionManager.java
@@ -228,6 +228,7 @@
     void clientGone(RequestContext requestContext) {
         requestContext.body.detach();
         if (requestContext.trackedRequest == null) {
+            metrics.requestsNeverBegun += requestContext.body.isComplete() ? 1 : 0;
             requestContext.body.release();
             return;
         }
--- /dev/null
+++ b/edge/src/main/java/thistlefall/edge/node/ClientSocketChannel.java
@@ -0,0 +1,88 @@
+package thistlefall.edge.node;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The TCP connection of a client, which can be asked whether its socket holds unread input or the end of it. The event
+ * loop reads sockets in turns, so the close of a client may lie in the kernel behind what it sent before, or because
+ * the process was stopped. Used on its event loop only.
+ */
+final class ClientSocketChannel extends NioSocketChannel {
+    /** What the socket holds that has not been read. */
+    enum UnreadInput {
+        /** Nothing: the client has not closed its side. */
+        NONE,
+        /** Bytes; whether an end follows them is unknown. */
+        BYTES,
+        /** The end of the input: the client has closed its side, or the connection is broken. */
+        END
+    }
+
+    /** Accepts connections of clients. */
+    static final class Listener extends NioServerSocketChannel {
+        @Override
+        protected int doReadMessages(List<Object> accepted) throws Exception {
+            SocketChannel socket = javaChannel().accept();
+            if (socket == null) {
+                return 0;
+            }
+            accepted.add(new ClientSocketChannel(this, socket));
+            return 1;
+        }
+    }
+
+    /** Leaves the other connections a turn before the byte that was read ahead is read. */
+    private static final long READ_DELAY_MILLIS = 1;
+
+    private final ByteBuffer byteReadAhead = ByteBuffer.allocate(1).limit(0);
+
+    private ClientSocketChannel(Channel listener, SocketChannel socket) {
+        super(listener, socket);
+    }
+
+    /** Asks the socket of a client's connection; those of other transports never hold unread input. */
+    static UnreadInput unreadInput(Channel channel) {
+        return channel instanceof ClientSocketChannel socketChannel ? socketChannel.unreadInput() : UnreadInput.NONE;
+    }
+
+    /** One byte may be read ahead for the answer. It is read as usual soon, also if no other follows it. */
+    private UnreadInput unreadInput() {
+        if (byteReadAhead.hasRemaining()) {
+            return UnreadInput.BYTES;
+        }
+        int length;
+        try {
+            length = javaChannel().read(byteReadAhead.clear());
+        } catch (IOException e) {
+            length = -1;
+        }
+        byteReadAhead.flip();
+        if (length > 0) {
+            eventLoop().schedule(this::readByteReadAhead, READ_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+        }
+        return length > 0 ? UnreadInput.BYTES : length == 0 ? UnreadInput.NONE : UnreadInput.END;
+    }
+
+    private void readByteReadAhead() {
+        if (byteReadAhead.hasRemaining() && isOpen()) {
+            unsafe().read();
+        }
+    }
+
+    @Override
+    protected int doReadBytes(ByteBuf buffer) throws Exception {
+        if (!byteReadAhead.hasRemaining()) {
+            return super.doReadBytes(buffer);
+        }
+        buffer.writeBytes(byteReadAhead);
+        return 1 + (buffer.isWritable() ? Math.max(0, super.doReadBytes(buffer)) : 0);
+    }
+}
--- a/edge/src/main/java/thistlefall/edge/node/EdgeNode.java
+++ b/edge/src/main/java/thistlefall/edge/node/EdgeNode.java
@@ -10,6 +10,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.local.LocalServerChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -100,7 +101,6 @@
         Logger log = LoggerFactory.getLogger("thistlefall.node");
         var bootstrap = new ServerBootstrap()
                 .group(eventLoopGroup)
-                .channel(Transports.serverChannelClass(definition.listen()))
                 .childOption(ChannelOption.ALLOCATOR, NodeAllocator.INSTANCE)
                 .childOption(
                         ChannelOption.RCVBUF_ALLOCATOR,
@@ -128,9 +128,12 @@
                 });
         if (definition.listen() instanceof InetSocketAddress) {
             bootstrap
+                    .channelFactory(ClientSocketChannel.Listener::new)
                     .option(ChannelOption.SO_BACKLOG, 1024)
                     .option(ChannelOption.SO_REUSEADDR, true)
                     .childOption(ChannelOption.TCP_NODELAY, true);
+        } else {
+            bootstrap.channel(LocalServerChannel.class);
         }
         var bindFuture = bootstrap.bind(definition.listen()).awaitUninterruptibly();
         if (!bindFuture.isSuccess()) {
--- a/edge/src/main/java/thistlefall/edge/node/NodeMetrics.java
+++ b/edge/src/main/java/thistlefall/edge/node/NodeMetrics.java
@@ -25,6 +25,8 @@
     long deniedTokens;
     long unknownTokens;
     long clientsGone;
+    long requestsNeverBegun;
+    long departuresFoundAtSend;
     long expiredByTracker;
     long connectionsRejected;
     long serverListUpdates;
@@ -68,6 +70,8 @@
         map.put("denied_tokens", deniedTokens);
         map.put("unknown_tokens", unknownTokens);
         map.put("clients_gone", clientsGone);
+        map.put("never_begun", requestsNeverBegun);
+        map.put("clients_gone_at_send", departuresFoundAtSend);
         map.put("ended_by_ledger", expiredByTracker);
         map.put("connections_turned_away", connectionsRejected);
         map.put("list_updates", serverListUpdates);
--- a/edge/src/main/java/thistlefall/edge/node/RequestPipeline.java
+++ b/edge/src/main/java/thistlefall/edge/node/RequestPipeline.java
@@ -99,6 +99,25 @@
         return converted;
     }
 
+    /**
+     * Makes surplus requests of all complete requests if the first has not been dispatched. Returns the removed
+     * requests; the caller releases their bodies.
+     */
+    List<RequestContext> convertUndispatchedToSurplus() {
+        if (requests.isEmpty() || requests.peekFirst().resolutionStarted) {
+            return List.of();
+        }
+        List<RequestContext> converted =
+                requests.stream().filter(context -> context.body.isComplete()).toList();
+        for (RequestContext requestContext : converted) {
+            surplusCount++;
+            dueRefusals += 1 + requestContext.surplusRequestsBehind;
+            requestContext.surplusRequestsBehind = 0;
+        }
+        requests.removeAll(converted);
+        return converted;
+    }
+
     /** Removes the request that is still being received; there are no surplus requests behind it. */
     void removeIncomplete(RequestContext requestContext) {
         requests.remove(requestContext);
