A connection whose attempt is given up is reset, so that nothing is delivered later

What callers saw: requests reached app servers up to 7 s after the node had given them up and answered the client.

Cause: the connection was closed in order, and the system goes on delivering what lies in its send buffer, for as long as the server's machine takes it.

Change: a connection with an unfinished exchange is closed by a reset: on a timeout, a departure, a response that can't be read, and at the end of the node. Idle connections and those with a complete response are closed in order as before. One Transports.reset serves clients and servers.

Why it works: a reset discards the send buffer.

Evidence: AbandonedAttemptTest (timeout, end of the node; a server that does not read, with a small receive buffer), both failed before.

--- a/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.DuplexChannel;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -23,6 +22,7 @@
 import thistlefall.edge.http.RequestDecoder;
 import thistlefall.edge.settings.NodeSettings.LimitSettings;
 import thistlefall.edge.upstream.ChannelErrors;
+import thistlefall.edge.upstream.Transports;
 import thistlefall.lifecycle.ConnectionLifecycle;
 import thistlefall.memory.MemoryBudget;
 import thistlefall.request.FailureCause;
@@ -440,7 +440,7 @@
         }
         if (unread) {
             log.accept("client cut off: " + unsentBytes() + " bytes of responses not read while memory was short");
-            reset();
+            Transports.reset(channel);
         }
     }
 
@@ -563,17 +563,10 @@
 
     /** Resets the connection because the response broke off, so that the client does not consider it complete. */
     void abortResponse(RequestContext requestContext) {
-        reset();
+        Transports.reset(channel);
         requestContext.body.release();
     }
 
-    private void reset() {
-        if (channel instanceof SocketChannel socket && socket.isActive()) {
-            socket.config().setSoLinger(0);
-        }
-        channel.close();
-    }
-
     private void responseFinished(RequestContext requestContext) {
         anyRequestCompleted = true;
         requestContext.body.release();
--- a/edge/src/main/java/thistlefall/edge/upstream/ServerConnection.java
+++ b/edge/src/main/java/thistlefall/edge/upstream/ServerConnection.java
@@ -79,10 +79,13 @@
         pool.release(this);
     }
 
-    /** Abandons the exchange and closes the connection; the handler is not called any more. */
+    /**
+     * Abandons the exchange and resets the connection, so that a request that the server has not taken does not reach
+     * it later. The handler is not called any more.
+     */
     public void abandon() {
         handler = null;
-        channel.close();
+        Transports.reset(channel);
     }
 
     @Override
@@ -150,7 +153,7 @@
     private void failExchange(EndReason reason) {
         ResponseHandler failedHandler = handler;
         handler = null;
-        channel.close();
+        Transports.reset(channel);
         if (failedHandler != null) {
             failedHandler.exchangeFailed(reason);
         }
--- a/edge/src/main/java/thistlefall/edge/upstream/ServerConnectionPool.java
+++ b/edge/src/main/java/thistlefall/edge/upstream/ServerConnectionPool.java
@@ -321,9 +321,9 @@
         draining = false;
     }
 
-    /** Closes all connections. */
+    /** Closes all connections; what has not reached the server is discarded. */
     public void close() {
         drain();
-        Set.copyOf(openConnections).forEach(connection -> connection.channel().close());
+        Set.copyOf(openConnections).forEach(connection -> Transports.reset(connection.channel()));
     }
 }
--- a/edge/src/main/java/thistlefall/edge/upstream/Transports.java
+++ b/edge/src/main/java/thistlefall/edge/upstream/Transports.java
@@ -1,6 +1,7 @@
 package thistlefall.edge.upstream;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.IoHandlerFactory;
@@ -9,6 +10,7 @@
 import io.netty.channel.local.LocalIoHandler;
 import io.netty.channel.local.LocalServerChannel;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
@@ -41,6 +43,17 @@
         return isTcp(localAddress) ? NioServerSocketChannel.class : LocalServerChannel.class;
     }
 
+    /**
+     * Closes a connection by a reset, so that the system discards what it has not delivered. After an orderly close it
+     * goes on delivering that, for as long as the peer takes.
+     */
+    public static void reset(Channel channel) {
+        if (channel instanceof SocketChannel socketChannel && socketChannel.isActive()) {
+            socketChannel.config().setSoLinger(0);
+        }
+        channel.close();
+    }
+
     /** An address as the value of a {@code Host} field. */
     public static String hostHeader(SocketAddress address) {
         return address instanceof InetSocketAddress inetAddress
