A request on a connection that the server has not used yet ends with its client

What callers saw: a payment begun at an app server after its client had closed. It had been written in time, on a new connection that the server had not accepted.

Cause: an attempt that was written whole went on without its client, as its server runs it. On a connection on which the server has never sent anything that is not known: the system completes connections and takes their bytes in its place.

Change: such an attempt ends with its client, by a reset; may have run, as before. On other connections it goes on, so that no healthy connection is lost.

--- a/edge/src/main/java/thistlefall/edge/node/Attempt.java
+++ b/edge/src/main/java/thistlefall/edge/node/Attempt.java
@@ -383,10 +383,12 @@
         end(endReason);
     }
 
-    /** Handles the client's disconnect: ends the attempt, unless the server has the whole request and still runs it. */
+    /**
+     * Handles the client's disconnect: ends the attempt, unless the server has the whole request and still runs it.
+     */
     void clientGone() {
         clientGone = true;
-        if (forwarding || progress.compareTo(AttemptProgress.WRITTEN) < 0 || !requestContext.body.isComplete()) {
+        if (forwarding || !mayHaveReachedServer()) {
             end(EndReason.WITHDRAWN);
         } else {
             // Nobody will read the response; only its end matters.
@@ -395,6 +397,13 @@
         }
     }
 
+    /** Whether the server is likely to have the whole request: it has shown on this connection that it reads from it. */
+    private boolean mayHaveReachedServer() {
+        return progress.compareTo(AttemptProgress.WRITTEN) >= 0
+                && requestContext.body.isComplete()
+                && (connection == null || connection.hasServerSent());
+    }
+
     private ResponseClassification classifyResponse() {
         return head == null
                 ? ResponseClassification.NOTHING
--- a/edge/src/main/java/thistlefall/edge/upstream/ServerConnection.java
+++ b/edge/src/main/java/thistlefall/edge/upstream/ServerConnection.java
@@ -25,6 +25,7 @@
     private boolean keepAlive;
     private boolean extraBytesReceived;
     private boolean readInProgress;
+    private boolean serverHasSent;
     private BodyEnd responseEnd;
     long idleSinceNanos;
 
@@ -48,6 +49,14 @@
         return channel;
     }
 
+    /**
+     * Whether the server has ever sent something on this connection. Until then it may not have accepted it: the system
+     * completes connections, and takes their first bytes, before the server does.
+     */
+    public boolean hasServerSent() {
+        return serverHasSent;
+    }
+
     /** Begins an exchange; the caller writes the request next. */
     void beginExchange(ResponseHandler newHandler, boolean headRequest) {
         handler = newHandler;
@@ -91,6 +100,7 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         readInProgress = true;
+        serverHasSent = true;
         if (handler == null) {
             // Bytes that belong to no request: they would be read as the start of the next response.
             ReferenceCountUtil.release(message);
