A keyed repeat is sent only where its server has just shown that it reads

What callers saw: keyed requests sent again in time and read by app servers up to 7 s after the first attempt, when their cell had forgotten the key.

Cause: the window was kept up to the first byte at the node's socket. A connection that the system has completed need not have been accepted; its bytes lie with the kernels until the server gets round to them, and a reset does not recall what lies in the server's receive buffer.

Change: the module states SendConditions with each attempt. For a keyed repeat the server must show directly before, on the connection, that it reads from it: it answers a probe, then the connection rests as after any response. Where the settings allow no probes, only a connection that has carried a response serves. X-Expires-In of a repeat ends with the window, so a server that takes it later, from a queue of its own, finds it over.

Why it works: the probe has the whole way of the request. What is left of the window after it is at least as long as the probe took, as the latest time to send is the middle of what was left.

--- a/bench/src/main/java/thistlefall/bench/ModuleBench.java
+++ b/bench/src/main/java/thistlefall/bench/ModuleBench.java
@@ -168,7 +168,7 @@
     }
 
     @Override
-    public void send(String id, String server, long patience, long latestSendTime) {
+    public void send(String id, String server, long patience, Ports.SendConditions conditions) {
         lastServer = server;
     }
 
--- a/core/src/main/java/thistlefall/Gateway.java
+++ b/core/src/main/java/thistlefall/Gateway.java
@@ -24,6 +24,7 @@
 import thistlefall.Ports.Request;
 import thistlefall.Ports.RequestClass;
 import thistlefall.Ports.Result;
+import thistlefall.Ports.SendConditions;
 import thistlefall.Ports.Server;
 import thistlefall.Ports.Settings;
 import thistlefall.attempt.SendDeadlines;
@@ -1638,7 +1639,7 @@
             controller.levelReached = true;
         }
         long timeout = Math.max(MILLISECOND, pendingRequest.giveUpTime() - now);
-        host.send(pendingRequest.request.id(), server.id, timeout, latestSendTime(pendingRequest, server));
+        host.send(pendingRequest.request.id(), server.id, timeout, sendConditions(pendingRequest, server));
     }
 
     /** With the first attempt a request's units count as used, and others can accrue in their place. */
@@ -1649,16 +1650,18 @@
         }
     }
 
-    /** Returns until when this attempt may be sent: what has allowed it may end while it waits for a connection. */
-    private long latestSendTime(PendingRequest pendingRequest, ServerState server) {
-        long latest = pendingRequest.giveUpTime();
+    /** Returns under which conditions this attempt may be sent: what has allowed it may end while it waits. */
+    private SendConditions sendConditions(PendingRequest pendingRequest, ServerState server) {
+        long latestStart = Long.MAX_VALUE;
+        long latestSend = pendingRequest.giveUpTime();
         if (pendingRequest.isKeyedRepeat()) {
-            latest = Math.min(latest, SendDeadlines.forRepeatWithinKeyWindow(now, pendingRequest.keyWindowEnd()));
+            latestStart = pendingRequest.keyWindowEnd();
+            latestSend = Math.min(latestSend, SendDeadlines.forRepeatWithinKeyWindow(now, latestStart));
         }
         if (server.isCold()) {
-            latest = Math.min(latest, SendDeadlines.forColdServer(now, settings.rules()));
+            latestSend = Math.min(latestSend, SendDeadlines.forColdServer(now, settings.rules()));
         }
-        return latest;
+        return new SendConditions(latestSend, latestStart, pendingRequest.isKeyedRepeat());
     }
 
     /** Starts another attempt after one that did not finish the request, or gives the final response. */
--- a/core/src/main/java/thistlefall/Ports.java
+++ b/core/src/main/java/thistlefall/Ports.java
@@ -266,6 +266,17 @@
             double trueUnits,
             List<Double> report) {}
 
+    /**
+     * What must hold when the first byte of an attempt is sent; times are of the clock of the events.
+     *
+     * @param latestSendTime what the decision relied on holds until then
+     * @param latestStartTime when the server must have begun the request, as the host tells it; {@code Long.MAX_VALUE}
+     *     if only the timeout of the attempt limits that
+     * @param serverMustRead whether the server must have shown directly before, on the connection, that it reads from
+     *     it; else a request that is sent in time may be taken at any later time
+     */
+    public record SendConditions(long latestSendTime, long latestStartTime, boolean serverMustRead) {}
+
     /** The events that the host reports, in the order in which they happen. */
     public interface Events {
         /** The server list or changes of it arrived, or a request for it failed. */
@@ -296,11 +307,10 @@
     /** The actions that the module calls on its host; each takes effect immediately. */
     public interface Actions {
         /**
-         * Starts an attempt and ends it if there is no response within {@code timeout}. What the decision relied on
-         * holds until {@code latestSendTime}, a time of the clock of the events: the attempt may wait for a connection,
-         * but where it is not sent by then, it ends as one that never ran.
+         * Starts an attempt and ends it if there is no response within {@code timeout}. It may wait for a connection,
+         * but is sent only under the given conditions, or else ends as one that never ran.
          */
-        void send(String id, String server, long timeout, long latestSendTime);
+        void send(String id, String server, long timeout, SendConditions conditions);
 
         /** Ends an attempt of which no byte was sent as {@link Outcome#NOT_SENT}; any other goes on. */
         void withdraw(String id);
--- a/core/src/main/java/thistlefall/attempt/EndReason.java
+++ b/core/src/main/java/thistlefall/attempt/EndReason.java
@@ -13,6 +13,8 @@
      * server drains.
      */
     NO_PLACE,
+    /** The server has not shown that it reads from a connection, which this attempt needs before its first byte. */
+    UNCONFIRMED,
     /** The peer closed or reset the connection. */
     CLOSED,
     /** The received bytes are not a valid response of the protocol. */
--- a/core/src/main/java/thistlefall/attempt/OutcomeClassifier.java
+++ b/core/src/main/java/thistlefall/attempt/OutcomeClassifier.java
@@ -26,7 +26,9 @@
         boolean nothingWritten = progress.compareTo(AttemptProgress.WRITTEN) < 0;
         return switch (endReason) {
             case ANSWER -> classifyResponse(progress, classification);
-            case REFUSED, CONNECT_OVERDUE, NO_PLACE -> nothingWritten ? Outcome.CONNECT_FAILED : Outcome.RESET;
+            case REFUSED, CONNECT_OVERDUE, NO_PLACE, UNCONFIRMED -> nothingWritten
+                    ? Outcome.CONNECT_FAILED
+                    : Outcome.RESET;
                 // A pooled connection that closed before anything was written says nothing about the server.
             case CLOSED -> nothingWritten ? Outcome.NOT_SENT : Outcome.RESET;
             case GARBLED -> nothingWritten ? Outcome.NOT_SENT : Outcome.ERROR;
--- a/core/src/test/java/thistlefall/RecordingHost.java
+++ b/core/src/test/java/thistlefall/RecordingHost.java
@@ -31,7 +31,11 @@
     /** A plan without quota, limit on requests in flight, or ceiling. */
     static final Plan UNLIMITED = new Plan(0, 0, 0, 1, 0, 0, 0, 0, 0);
 
-    record SentAttempt(String id, String server, long timeout, long latestSendTime) {}
+    record SentAttempt(String id, String server, long timeout, Ports.SendConditions conditions) {
+        long latestSendTime() {
+            return conditions.latestSendTime();
+        }
+    }
 
     record CounterAddition(long name, double amount) {}
 
@@ -141,8 +145,8 @@
     }
 
     @Override
-    public void send(String id, String server, long timeout, long latestSendTime) {
-        sentAttempts.add(new SentAttempt(id, server, timeout, latestSendTime));
+    public void send(String id, String server, long timeout, Ports.SendConditions conditions) {
+        sentAttempts.add(new SentAttempt(id, server, timeout, conditions));
     }
 
     @Override
--- a/core/src/test/java/thistlefall/SendConditionsTest.java
+++ b/core/src/test/java/thistlefall/SendConditionsTest.java
@@ -43,7 +43,10 @@
         host.now += FIRST_ATTEMPT;
         host.endAttempt(id, Outcome.ERROR, false);
         assertEquals(2, host.attemptsOf(id).size());
-        assertTrue(last(host.attemptsOf(id)).latestSendTime() < windowEnd);
+        Ports.SendConditions conditions = last(host.attemptsOf(id)).conditions();
+        assertTrue(conditions.latestSendTime() < windowEnd);
+        assertTrue(conditions.latestStartTime() < windowEnd);
+        assertTrue(conditions.serverMustRead(), "what the kernel holds is not taken yet");
     }
 
     /** The wait for a connection leaves time for another server, and none is tried after the window. */
@@ -72,6 +75,7 @@
         String id = host.request(requestClass, 1);
         SentAttempt attempt = last(host.attemptsOf(id));
         assertEquals(host.now + attempt.timeout(), attempt.latestSendTime());
+        assertFalse(attempt.conditions().serverMustRead());
         host.endAttempt(id, Outcome.CONNECT_FAILED, false);
         SentAttempt second = last(host.attemptsOf(id));
         assertEquals(host.now + second.timeout(), second.latestSendTime());
--- a/drill/src/main/java/thistlefall/drill/WireWriter.java
+++ b/drill/src/main/java/thistlefall/drill/WireWriter.java
@@ -4,6 +4,7 @@
 import java.io.Writer;
 import thistlefall.Ports.Actions;
 import thistlefall.Ports.Reason;
+import thistlefall.Ports.SendConditions;
 
 /** Writes the actions of gateways as lines of the simulator's protocol, collected until the end of a batch. */
 final class WireWriter {
@@ -39,7 +40,7 @@
         }
 
         @Override
-        public void send(String id, String server, long timeoutNanos, long latestSendTime) {
+        public void send(String id, String server, long timeoutNanos, SendConditions conditions) {
             // The simulator sends at once.
             startLine("try")
                     .append(' ')
--- a/edge/src/main/java/thistlefall/edge/node/ActionExecutor.java
+++ b/edge/src/main/java/thistlefall/edge/node/ActionExecutor.java
@@ -14,6 +14,7 @@
 import thistlefall.Ports.Result;
 import thistlefall.clock.MonotonicWallClock;
 import thistlefall.edge.http.HttpFields;
+import thistlefall.edge.upstream.ConnectionConfirmation;
 import thistlefall.edge.upstream.ServerConnectionPool;
 import thistlefall.request.FailureCause;
 import thistlefall.request.RequestTracker;
@@ -174,7 +175,7 @@
     }
 
     @Override
-    public void send(String requestId, String serverId, long timeout, long latestSendTime) {
+    public void send(String requestId, String serverId, long timeout, Ports.SendConditions conditions) {
         RequestContext requestContext = activeRequests.find(requestId);
         if (requestContext == null) {
             // The request was completed after an exception in the module. Report the attempt as not sent, so that the
@@ -205,7 +206,25 @@
         requestContext.currentAttempt.start(
                 pool,
                 timeout <= 0 ? remainingTime : Math.min(timeout, remainingTime),
-                MonotonicWallClock.minimumElapsed(latestSendTime - clock.now()));
+                new Attempt.SendLimits(
+                        durationUntil(conditions.latestSendTime()),
+                        durationUntil(conditions.latestStartTime()),
+                        conditions.serverMustRead()));
+    }
+
+    /** Returns how long the module's clock takes to reach a time, at the least. */
+    private long durationUntil(long moduleTime) {
+        return MonotonicWallClock.minimumElapsed(moduleTime - clock.now());
+    }
+
+    /** Acquires a connection on which the server has shown that it reads; returns null if there is nothing to cancel. */
+    ConnectionConfirmation acquireConfirmed(ServerConnectionPool pool, Attempt attempt, boolean headRequest) {
+        if (!settings.limits().probesAllowed()) {
+            pool.acquireUsed(attempt, headRequest, attempt);
+            return null;
+        }
+        metrics.confirmations++;
+        return pool.acquireConfirmed(serverPools.probePath(), attempt, headRequest, attempt);
     }
 
     @Override
--- a/edge/src/main/java/thistlefall/edge/node/Attempt.java
+++ b/edge/src/main/java/thistlefall/edge/node/Attempt.java
@@ -13,6 +13,7 @@
 import thistlefall.edge.http.HttpFields;
 import thistlefall.edge.http.HttpWriter;
 import thistlefall.edge.http.MessageHead;
+import thistlefall.edge.upstream.ConnectionConfirmation;
 import thistlefall.edge.upstream.ResponseHandler;
 import thistlefall.edge.upstream.ServerConnection;
 import thistlefall.edge.upstream.ServerConnectionPool;
@@ -27,6 +28,15 @@
     /** The outcome of an attempt, with its duration in nanoseconds. */
     record AttemptResult(Outcome outcome, long duration, double trueUnits, List<Double> loadReport) {}
 
+    /**
+     * When and how an attempt may be sent; durations from its start.
+     *
+     * @param sendTime how long it may wait for its first byte
+     * @param startTime within which time the server must have begun the request
+     * @param serverMustRead whether the server must have shown on the connection that it reads from it
+     */
+    record SendLimits(long sendTime, long startTime, boolean serverMustRead) {}
+
     private static final long RESPONSE_FORWARD_TIMEOUT_NANOS = 30_000_000_000L;
 
     private final ActionExecutor executor;
@@ -35,7 +45,10 @@
     private final int number;
     private final long startedAt = System.nanoTime();
     private ServerConnectionPool pool;
+    private SendLimits sendLimits;
     private SendPermission sendPermission;
+    /** Acquires a connection on which the server reads; null if the attempt needs none or has it. */
+    private ConnectionConfirmation confirmation;
     /** When the request was handed to the socket as a whole; 0 before that. */
     private long writtenAt;
 
@@ -93,13 +106,14 @@
         return startedAt;
     }
 
-    /** Begins the attempt, which ends after {@code timeout} and may be sent for {@code sendTime}. */
-    void start(ServerConnectionPool serverPool, long timeout, long sendTime) {
+    /** Begins the attempt, which ends after {@code timeout}. */
+    void start(ServerConnectionPool serverPool, long timeout, SendLimits limits) {
         pool = serverPool;
+        sendLimits = limits;
         deadlineTimeout = executor.eventLoopTimer().schedule(timeout, () -> end(EndReason.OVERDUE));
-        sendPermission = new SendPermission(startedAt + Math.min(timeout, sendTime));
-        if (sendTime < timeout) {
-            sendTimeout = executor.eventLoopTimer().schedule(sendTime, this::endUnlessSent);
+        sendPermission = new SendPermission(startedAt + Math.min(timeout, limits.sendTime()));
+        if (limits.sendTime() < timeout) {
+            sendTimeout = executor.eventLoopTimer().schedule(limits.sendTime(), this::endUnlessSent);
         }
         if (number == 0) {
             requestContext.clientConnection.sendContinue(requestContext);
@@ -141,7 +155,12 @@
     }
 
     private void acquireConnection() {
-        pool.acquire(this, requestContext.head.method().equals("HEAD"), this);
+        boolean headRequest = requestContext.head.method().equals("HEAD");
+        if (sendLimits.serverMustRead()) {
+            confirmation = executor.acquireConfirmed(pool, this, headRequest);
+        } else {
+            pool.acquire(this, headRequest, this);
+        }
     }
 
     private void send(ServerConnection acquiredConnection) {
@@ -151,7 +170,8 @@
         MessageHead.RequestHead request = requestContext.head;
         Channel channel = acquiredConnection.channel();
         ByteBuf out = HttpWriter.beginRequest(channel.alloc(), request.method(), request.target());
-        long remainingTime = deadlineTimeout.deadline() - System.nanoTime();
+        long now = System.nanoTime();
+        long remainingTime = Math.min(deadlineTimeout.deadline() - now, sendLimits.startTime() - (now - startedAt));
         executor.dialect()
                 .writeRequestFields(
                         out, request, number, requestContext.customerName, executor.nodeName(), remainingTime);
@@ -419,6 +439,9 @@
         responseBuffer.release();
         executor.eventLoopTimer().cancel(deadlineTimeout);
         cancelSendTimeout();
+        if (confirmation != null) {
+            confirmation.cancel();
+        }
         requestContext.body.detach();
         if (connection != null) {
             connection.abandon();
--- a/edge/src/main/java/thistlefall/edge/node/NodeMetrics.java
+++ b/edge/src/main/java/thistlefall/edge/node/NodeMetrics.java
@@ -17,6 +17,7 @@
     long attempts;
     long lateSends;
     long withdrawnSends;
+    long confirmations;
     long probes;
     long counterCalls;
     long counterFailures;
@@ -62,6 +63,7 @@
         map.put("attempts", attempts);
         map.put("late_sends", lateSends);
         map.put("withdrawn_sends", withdrawnSends);
+        map.put("confirmations", confirmations);
         map.put("probes", probes);
         map.put("counter_calls", counterCalls);
         map.put("counter_failures", counterFailures);
--- a/edge/src/main/java/thistlefall/edge/node/ServerPools.java
+++ b/edge/src/main/java/thistlefall/edge/node/ServerPools.java
@@ -74,6 +74,11 @@
         this.listener = listener;
     }
 
+    /** Returns the path that probes request. */
+    String probePath() {
+        return probePath;
+    }
+
     /** Updates the servers' addresses and start times from the entries of a list. */
     void updateTargets(List<ServerEndpoint> endpoints) {
         endpoints.forEach(endpoint -> targets.put(endpoint.server().id(), Target.of(endpoint)));
--- a/edge/src/main/java/thistlefall/edge/upstream/ServerConnectionPool.java
+++ b/edge/src/main/java/thistlefall/edge/upstream/ServerConnectionPool.java
@@ -126,6 +126,51 @@
         }
     }
 
+    /**
+     * Acquires a connection on which the server answers a probe first; see {@link ConnectionConfirmation}. The caller
+     * cancels the confirmation when it needs the connection no more.
+     */
+    public ConnectionConfirmation acquireConfirmed(
+            String probePath, ResponseHandler handler, boolean headRequest, AcquireCallback callback) {
+        var confirmation = new ConnectionConfirmation(loop, this, probePath, handler, headRequest, callback);
+        acquire(confirmation, false, confirmation);
+        return confirmation;
+    }
+
+    /** Acquires a connection on which the server has responded before; none is opened for this. */
+    public void acquireUsed(ResponseHandler handler, boolean headRequest, AcquireCallback callback) {
+        ServerConnection connection = findReusableConnection();
+        if (connection != null && connection.hasServerSent() && takeIdle(connection)) {
+            connection.beginExchange(handler, headRequest);
+            callback.acquired(connection);
+        } else {
+            callback.unavailable(EndReason.UNCONFIRMED);
+        }
+    }
+
+    long minIdleTime() {
+        return limits.minIdleTime();
+    }
+
+    /** Takes an idle connection out of the pool, for one caller; returns false if it is not idle any more. */
+    boolean takeIdle(ServerConnection connection) {
+        if (!idleConnections.remove(connection)) {
+            return false;
+        }
+        limiter.setIdle(connection, false);
+        return true;
+    }
+
+    /** Begins an exchange on a connection that was taken before; closes it and returns false if it is not usable. */
+    boolean beginReservedExchange(ServerConnection connection, ResponseHandler handler, boolean headRequest) {
+        if (draining || !connection.isUsable()) {
+            discard(connection);
+            return false;
+        }
+        connection.beginExchange(handler, headRequest);
+        return true;
+    }
+
     /**
      * Makes sure that one more connection is allowed in this pool. At the limit, the connection idle for longest makes
      * room, as it has not been idle long enough to be used. Returns false if all are in use.
--- a/standin/src/main/java/thistlefall/standin/fault/FaultInjector.java
+++ b/standin/src/main/java/thistlefall/standin/fault/FaultInjector.java
@@ -186,7 +186,7 @@
         }
 
         @Override
-        public void send(String id, String server, long patience, long latestSendTime) {
+        public void send(String id, String server, long patience, Ports.SendConditions conditions) {
             delegate.send(
                     id,
                     knownServers.values().stream()
@@ -196,7 +196,7 @@
                             .map(Server::id)
                             .orElse(server),
                     patience,
-                    latestSendTime);
+                    conditions);
         }
 
         @Override
--- a/standin/src/main/java/thistlefall/standin/simulation/ModuleStrategy.java
+++ b/standin/src/main/java/thistlefall/standin/simulation/ModuleStrategy.java
@@ -54,7 +54,7 @@
     }
 
     @Override
-    public void send(String id, String server, long patience, long latestSendTime) {
+    public void send(String id, String server, long patience, Ports.SendConditions conditions) {
         serverByRequest.put(id, server);
         listener.sent(id);
     }
