A socket that can't be opened is reported on the event loop, not on another thread

Cause: where no descriptor is left, the channel of a connect can't be created; it belongs to no event loop, and the transport calls the listeners of its future on a thread of its own. Pools, attempts, the decision module and the counter's client are confined to the event loop and were changed from there.

Change: Transports.connect hands the result to the event loop; the pools and the counter's client connect by it.

--- a/cli/src/test/java/thistlefall/cli/fault/FaultClient.java
+++ b/cli/src/test/java/thistlefall/cli/fault/FaultClient.java
@@ -10,7 +10,9 @@
 
 /** A client with one connection to a node. */
 final class FaultClient implements AutoCloseable {
-    /** The least status of a final response that is no success. */
+    /** Asks whether the node is ready. */
+    static final String READINESS = "GET /health/ready HTTP/1.1\r\nHost: n0\r\n\r\n";
+
     private static final Pattern CONTENT_LENGTH = Pattern.compile("Content-Length: (\\d+)");
 
     private static final int MAX_WAIT_MILLIS = 10_000;
--- a/cli/src/test/java/thistlefall/cli/fault/NodeUnderTest.java
+++ b/cli/src/test/java/thistlefall/cli/fault/NodeUnderTest.java
@@ -1,5 +1,6 @@
 package thistlefall.cli.fault;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -17,6 +18,9 @@
 
 /** A node in a process of its own, with the options of the deployment, among servers that the test scripts. */
 final class NodeUnderTest implements AutoCloseable {
+    /** Fewer descriptors than a process has open from its start. */
+    private static final int MIN_DESCRIPTORS = 3;
+
     private final Path folder;
     private final Path configFile;
     private final PlatformEnvironment environment = new PlatformEnvironment(0);
@@ -67,6 +71,25 @@
         NodeProcess.sendSignal(process, name);
     }
 
+    /** Lets the process open no further descriptor, or as many as before; what it has open stays open. */
+    void setDescriptorsExhausted(boolean exhausted) throws Exception {
+        String softLimit =
+                exhausted ? Integer.toString(MIN_DESCRIPTORS) : "unlimited".equals(hardLimit()) ? "4096" : hardLimit();
+        assertEquals(
+                0,
+                new ProcessBuilder("prlimit", "--pid", Long.toString(process.pid()), "--nofile=" + softLimit + ":")
+                        .start()
+                        .waitFor());
+    }
+
+    private String hardLimit() throws IOException {
+        return Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "limits")).stream()
+                .filter(line -> line.startsWith("Max open files"))
+                .map(line -> line.split("\\s+")[4])
+                .findFirst()
+                .orElseThrow();
+    }
+
     /** Stops the process, as the machine may at any moment, and returns once it has stopped. */
     void holdUp() throws Exception {
         signal("STOP");
@@ -89,8 +112,7 @@
     private boolean isReady() {
         try (Socket socket = new Socket(address().getAddress(), address().getPort())) {
             socket.setSoTimeout(10_000);
-            socket.getOutputStream()
-                    .write("GET /health/ready HTTP/1.1\r\nHost: n0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().write(FaultClient.READINESS.getBytes(StandardCharsets.US_ASCII));
             return new String(socket.getInputStream().readNBytes(12), StandardCharsets.US_ASCII).equals("HTTP/1.1 200");
         } catch (IOException e) {
             return false;
--- a/edge/src/main/java/thistlefall/edge/counter/CounterClient.java
+++ b/edge/src/main/java/thistlefall/edge/counter/CounterClient.java
@@ -177,30 +177,31 @@
             return;
         }
         connecting = true;
-        Transports.bootstrap(loop, address, CONNECT_TIMEOUT_MILLIS)
+        var bootstrap = Transports.bootstrap(loop, address, CONNECT_TIMEOUT_MILLIS)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel newChannel) {
                         protocol.addDecoders(newChannel.pipeline());
                         newChannel.pipeline().addLast(new ReplyHandler());
                     }
-                })
-                .connect(address, sourceAddress)
-                .addListener((ChannelFuture connectFuture) -> {
-                    connecting = false;
-                    if (!connectFuture.isSuccess()) {
-                        scheduleReconnect();
-                    } else if (closed) {
-                        connectFuture.channel().close();
-                    } else {
-                        channel = connectFuture.channel();
-                        Runnable task = onConnected;
-                        onConnected = null;
-                        if (task != null) {
-                            task.run();
-                        }
-                    }
                 });
+        Transports.connect(bootstrap, loop, address, sourceAddress, this::connectCompleted);
+    }
+
+    private void connectCompleted(ChannelFuture connectFuture) {
+        connecting = false;
+        if (!connectFuture.isSuccess()) {
+            scheduleReconnect();
+        } else if (closed) {
+            connectFuture.channel().close();
+        } else {
+            channel = connectFuture.channel();
+            Runnable task = onConnected;
+            onConnected = null;
+            if (task != null) {
+                task.run();
+            }
+        }
     }
 
     private void scheduleReconnect() {
--- a/edge/src/main/java/thistlefall/edge/node/ActionExecutor.java
+++ b/edge/src/main/java/thistlefall/edge/node/ActionExecutor.java
@@ -217,7 +217,7 @@
         return MonotonicWallClock.minimumElapsed(moduleTime - clock.now());
     }
 
-    /** Acquires a connection on which the server has shown that it reads; returns null if there is nothing to cancel. */
+    /** Acquires a connection on which the server has shown that it reads; null if there is nothing to cancel. */
     ConnectionConfirmation acquireConfirmed(ServerConnectionPool pool, Attempt attempt, boolean headRequest) {
         if (!settings.limits().probesAllowed()) {
             pool.acquireUsed(attempt, headRequest, attempt);
--- a/edge/src/main/java/thistlefall/edge/node/Attempt.java
+++ b/edge/src/main/java/thistlefall/edge/node/Attempt.java
@@ -417,7 +417,7 @@
         }
     }
 
-    /** Whether the server is likely to have the whole request: it has shown on this connection that it reads from it. */
+    /** Whether the server is likely to have the whole request: it has shown that it reads from this connection. */
     private boolean mayHaveReachedServer() {
         return progress.compareTo(AttemptProgress.WRITTEN) >= 0
                 && requestContext.body.isComplete()
--- a/edge/src/main/java/thistlefall/edge/node/ClientPresence.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientPresence.java
@@ -3,9 +3,9 @@
 import io.netty.channel.Channel;
 
 /**
- * Knows whether the client of a connection is still there. Nothing may be begun for one that has left, and its close may
- * lie in the kernel behind bytes that the event loop has not come to read. Used on the event loop of the connection only;
- * durations are in nanoseconds.
+ * Knows whether the client of a connection is still there. Nothing may be begun for one that has left, and its close
+ * may lie in the kernel behind bytes that the event loop has not come to read. Used on the event loop of the connection
+ * only; durations are in nanoseconds.
  */
 final class ClientPresence {
     /** What is known of the client. */
@@ -52,7 +52,7 @@
         };
     }
 
-    /** Whether the client has been sending without a pause for longer than this since its presence was first asked for. */
+    /** Whether the client has been sending without a pause for longer than this since it was first asked for. */
     boolean isUnknownForLongerThan(long duration) {
         return unknownSince != NEVER && System.nanoTime() - unknownSince > duration;
     }
--- a/edge/src/main/java/thistlefall/edge/upstream/ServerConnectionPool.java
+++ b/edge/src/main/java/thistlefall/edge/upstream/ServerConnectionPool.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
@@ -227,13 +226,12 @@
                 });
         InetSocketAddress localAddress =
                 limits.sourceAddress() == null ? null : new InetSocketAddress(limits.sourceAddress(), 0);
-        bootstrap
-                .connect(address, localAddress)
-                .addListener(new PendingConnection(handler, headRequest, callback, decoder));
+        var pendingConnection = new PendingConnection(handler, headRequest, callback, decoder);
+        Transports.connect(bootstrap, loop, address, localAddress, pendingConnection::completed);
     }
 
     /** A connection being established, and the request that waits for it. */
-    private final class PendingConnection implements ChannelFutureListener {
+    private final class PendingConnection {
         private final ResponseHandler handler;
         private final boolean headRequest;
         private final ResponseDecoder decoder;
@@ -263,8 +261,7 @@
             }
         }
 
-        @Override
-        public void operationComplete(ChannelFuture connectFuture) {
+        void completed(ChannelFuture connectFuture) {
             connectsInProgress--;
             pendingConnections.remove(this);
             if (timeoutTask != null) {
--- a/edge/src/main/java/thistlefall/edge/upstream/Transports.java
+++ b/edge/src/main/java/thistlefall/edge/upstream/Transports.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.IoHandlerFactory;
@@ -14,6 +15,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
+import java.util.function.Consumer;
 
 /** Selects the Netty transport by the type of address: TCP, or the in-process one for a {@code LocalAddress}. */
 public final class Transports {
@@ -38,6 +40,25 @@
         return isTcp(remoteAddress) ? bootstrap.option(ChannelOption.TCP_NODELAY, true) : bootstrap;
     }
 
+    /**
+     * Connects, from a local address unless that is null. The listener is called on the event loop, also if no socket
+     * could be opened: such a channel belongs to no event loop, and its future would call another thread.
+     */
+    public static void connect(
+            Bootstrap bootstrap,
+            EventLoop loop,
+            SocketAddress remoteAddress,
+            SocketAddress localAddress,
+            Consumer<ChannelFuture> listener) {
+        bootstrap.connect(remoteAddress, localAddress).addListener((ChannelFuture connectFuture) -> {
+            if (loop.inEventLoop()) {
+                listener.accept(connectFuture);
+            } else {
+                loop.execute(() -> listener.accept(connectFuture));
+            }
+        });
+    }
+
     /** The channel class that listens on an address. */
     public static Class<? extends ServerChannel> serverChannelClass(SocketAddress localAddress) {
         return isTcp(localAddress) ? NioServerSocketChannel.class : LocalServerChannel.class;
