Accepting goes on 10 ms after a failed accept, not after a second

What callers saw: a connection that came while the process had no descriptor left was accepted up to a second after there were some again; a request with 0.8 s was then answered late or not at all.

Cause: the transport's acceptor stops reading its listener for a second after any error of accept. The system has completed the connection meanwhile, and its request counts as taken.

Change: AcceptFailureHandler resumes after 10 ms, counts accept_failures and logs "can't accept a connection" once a second at most.

--- a/edge/src/main/java/thistlefall/edge/node/EdgeNode.java
+++ b/edge/src/main/java/thistlefall/edge/node/EdgeNode.java
@@ -101,6 +101,7 @@
         Logger log = LoggerFactory.getLogger("thistlefall.node");
         var bootstrap = new ServerBootstrap()
                 .group(eventLoopGroup)
+                .handler(new AcceptFailureHandler(log, runtime.metrics()))
                 .childOption(ChannelOption.ALLOCATOR, NodeAllocator.INSTANCE)
                 .childOption(
                         ChannelOption.RCVBUF_ALLOCATOR,
--- a/edge/src/main/java/thistlefall/edge/node/NodeMetrics.java
+++ b/edge/src/main/java/thistlefall/edge/node/NodeMetrics.java
@@ -30,6 +30,7 @@
     long departuresFoundAtSend;
     long expiredByTracker;
     long connectionsRejected;
+    long acceptFailures;
     long serverListUpdates;
     long serverListFailures;
     long malformedRequests;
@@ -76,6 +77,7 @@
         map.put("clients_gone_at_send", departuresFoundAtSend);
         map.put("ended_by_ledger", expiredByTracker);
         map.put("connections_turned_away", connectionsRejected);
+        map.put("accept_failures", acceptFailures);
         map.put("list_updates", serverListUpdates);
         map.put("list_failures", serverListFailures);
         map.put("unreadable", malformedRequests);
