The window of a key is not longer while the machine's clock is being corrected

The span since the first attempt is measured by it, the servers measure theirs by a clock that was not slowed: 24 ms too long for a window of 1.2 s, 100 ms for one of 5 s. Found by listing the uses of the wall clock.

Change: SendDeadlines.keyWindowEnd counts with the slowest rate, as the times handed to the host do already.

Evidence: SendConditionsTest.windowOfTheKeyIsNotLongerWhileTheClockIsCorrected failed before: sent again at the end of the window.

--- a/core/src/main/java/thistlefall/Gateway.java
+++ b/core/src/main/java/thistlefall/Gateway.java
@@ -847,7 +847,8 @@
 
         /** Returns when a repeat with its key may run again, less one timer interval. */
         long keyWindowEnd() {
-            return possibleRunSentAt + classQueue.requestClass.keyWindow() - TIMER_INTERVAL;
+            long windowEnd = SendDeadlines.keyWindowEnd(possibleRunSentAt, classQueue.requestClass.keyWindow());
+            return windowEnd - TIMER_INTERVAL;
         }
 
         /** Returns when an attempt is given up: at the aim if a late response is worth nothing, else the deadline. */
--- a/core/src/main/java/thistlefall/attempt/SendDeadlines.java
+++ b/core/src/main/java/thistlefall/attempt/SendDeadlines.java
@@ -1,6 +1,7 @@
 package thistlefall.attempt;
 
 import thistlefall.Ports.Rules;
+import thistlefall.clock.MonotonicWallClock;
 
 /**
  * Decides until when an attempt may be sent. The decision for an attempt holds at the moment at which it is taken; the
@@ -10,6 +11,14 @@
 public final class SendDeadlines {
     private SendDeadlines() {}
 
+    /**
+     * Returns until when servers remember a key that they first got at {@code firstSentAt}. While the module's clock is
+     * corrected it may run slower than theirs.
+     */
+    public static long keyWindowEnd(long firstSentAt, long keyWindow) {
+        return firstSentAt + MonotonicWallClock.minimumElapsed(keyWindow);
+    }
+
     /**
      * Returns the latest time to send a repeat whose key is remembered until {@code windowEnd}: the middle of the time
      * that is left, so that another server can be tried within the window if no connection to the first comes up.
--- a/core/src/test/java/thistlefall/SendConditionsTest.java
+++ b/core/src/test/java/thistlefall/SendConditionsTest.java
@@ -18,6 +18,7 @@
 import thistlefall.Ports.Outcome;
 import thistlefall.Ports.Readiness;
 import thistlefall.RecordingHost.SentAttempt;
+import thistlefall.clock.MonotonicWallClock;
 
 /**
  * Guards against attempts that are decided on at one moment and sent at another, when what allowed them has ended:
@@ -49,6 +50,19 @@
         assertTrue(conditions.serverMustRead(), "what the kernel holds is not taken yet");
     }
 
+    /** After the machine's clock was set back, the clock of the decisions runs slower than that of the servers. */
+    @Test
+    void windowOfTheKeyIsNotLongerWhileTheClockIsCorrected() {
+        host.addServers(6);
+        var clock = new MonotonicWallClock(0, host.now);
+        clock.observe(0, host.now - 3_600_000 * MS);
+        String id = host.request(KEYED_CELL, 1);
+        host.now = clock.timeAt(KEY_WINDOW);
+        host.endAttempt(id, Outcome.ERROR, false);
+        assertEquals(List.of(id), host.failedIds);
+        assertEquals(1, host.attemptsOf(id).size());
+    }
+
     /** The wait for a connection leaves time for another server, and none is tried after the window. */
     @Test
     void anotherServerIsTriedWithinTheWindow() {
