An id that may have run is not run again, whatever its client was told or read

What callers saw: an id ran twice when it came again.

Cause: ids were remembered only for clients that left before any response, only until the request's deadline, and the oldest of 4,096 was dropped for a new one, so that many departures could make the node forget.

Change: PossiblyRunRequestIds remembers every id, of a class that isn't safe, that may have run, for the longest deadline beyond its own. Served ones are dropped first at the limit; others never: while 8,192 of them are remembered, further requests of these classes are refused (full).

--- a/edge/src/main/java/thistlefall/edge/node/ActiveRequests.java
+++ b/edge/src/main/java/thistlefall/edge/node/ActiveRequests.java
@@ -8,9 +8,10 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import thistlefall.Ports.Outcome;
+import thistlefall.Ports.Repeat;
 import thistlefall.Ports.RequestClass;
-import thistlefall.request.DepartedRequestIds;
 import thistlefall.request.FailureCause;
+import thistlefall.request.PossiblyRunRequestIds;
 import thistlefall.request.RequestTracker;
 import thistlefall.request.ResponseKind;
 
@@ -19,7 +20,7 @@
  * that response, and sends those that the node generates itself. Confined to the node's event loop.
  */
 final class ActiveRequests {
-    private static final int MAX_DEPARTED_IDS = 4_096;
+    private static final int MAX_POSSIBLY_RUN_IDS = 8_192;
 
     private final String nodeName;
     private final RequestTracker requestTracker;
@@ -31,8 +32,9 @@
     /** The ids that clients gave to these requests; requests without such an id are not included. */
     private final Set<String> clientRequestIds = new HashSet<>();
 
-    /** The ids of clients that left while their requests may have run. */
-    private final DepartedRequestIds departedRequestIds = new DepartedRequestIds(MAX_DEPARTED_IDS);
+    private final PossiblyRunRequestIds possiblyRunIds = new PossiblyRunRequestIds(MAX_POSSIBLY_RUN_IDS);
+    /** How long an id is remembered after the time of its request, nanoseconds. */
+    private final long idRetention;
 
     private AttemptLog attemptLog;
     private long completedCount;
@@ -40,12 +42,14 @@
     ActiveRequests(
             String nodeName,
             RequestTracker requestTracker,
+            long idRetention,
             NodeMetrics metrics,
             NodeInterceptor interceptor,
             Logger log,
             int logEvery) {
         this.nodeName = nodeName;
         this.requestTracker = requestTracker;
+        this.idRetention = idRetention;
         this.metrics = metrics;
         this.interceptor = interceptor;
         this.log = log;
@@ -63,16 +67,20 @@
     }
 
     /**
-     * Whether a request has this id, as given by its client, and is unfinished, or may have run for a client that left
-     * without the response. Only with a new id may it be sent again.
+     * Whether a request has this id, as given by its client, and is unfinished, or may have run and must not run twice.
+     * Only with a new id may it be sent again.
      */
     boolean isClientRequestIdTaken(String clientRequestId) {
         return clientRequestIds.contains(clientRequestId)
-                || departedRequestIds.contains(clientRequestId, System.nanoTime());
+                || possiblyRunIds.contains(clientRequestId, System.nanoTime());
     }
 
-    boolean hasCapacity() {
-        return requestTracker.hasCapacity();
+    /**
+     * Whether a request of this class can be accepted: one that must not run twice only if its id could be remembered.
+     */
+    boolean hasCapacity(RequestClass requestClass) {
+        boolean idCanBeRemembered = requestClass.repeat() == Repeat.SAFE || !possiblyRunIds.isFull();
+        return requestTracker.hasCapacity() && idCanBeRemembered;
     }
 
     /** Returns the number of requests that still await their final response. */
@@ -156,7 +164,7 @@
 
     /** Completes the requests whose time is up; {@code onExpired} is called for each of them afterwards. */
     void expire(long monotonicNow, Consumer<RequestContext> onExpired) {
-        departedRequestIds.expire(monotonicNow);
+        possiblyRunIds.expire(monotonicNow);
         requestTracker.expire(monotonicNow, (trackedRequest, kind) -> {
             RequestContext requestContext = contextsById.get(trackedRequest.id());
             metrics.expiredByTracker++;
@@ -185,14 +193,21 @@
         if (!requestContext.trackedRequest.open() && !requestContext.trackedRequest.attemptOutstanding()) {
             contextsById.remove(requestContext.trackedRequest.id());
             clientRequestIds.remove(requestContext.clientRequestId);
-            if (requestContext.clientRequestId != null
-                    && requestContext.trackedRequest.cause() == FailureCause.CLIENT
-                    && requestContext.trackedRequest.mustNotRunAgain()) {
-                departedRequestIds.add(requestContext.clientRequestId, requestContext.trackedRequest.deadline());
+            if (requestContext.clientRequestId != null && requestContext.trackedRequest.mustNotRunAgain()) {
+                rememberId(requestContext);
             }
         }
     }
 
+    private void rememberId(RequestContext requestContext) {
+        long until = requestContext.trackedRequest.deadline() + idRetention;
+        if (requestContext.trackedRequest.cause() == null) {
+            possiblyRunIds.addServed(requestContext.clientRequestId, until);
+        } else {
+            possiblyRunIds.addUnserved(requestContext.clientRequestId, until);
+        }
+    }
+
     /** Logs one of every {@code logEvery} requests; the logging framework's own thread does the writing. */
     private void logCompletion(RequestContext requestContext, ResponseKind kind) {
         if (logEvery <= 0 || ++completedCount % logEvery != 0) {
--- a/edge/src/main/java/thistlefall/edge/node/ClientConnectionManager.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientConnectionManager.java
@@ -192,7 +192,7 @@
 
     /** Accepts a request, or refuses it and returns false if the node is draining or at its limit of open requests. */
     boolean accept(RequestContext requestContext, RequestClass requestClass, long clientTimeout) {
-        if (draining || !activeRequests.hasCapacity()) {
+        if (draining || !activeRequests.hasCapacity(requestClass)) {
             FailureCause cause = draining ? FailureCause.STOPPING : FailureCause.FULL;
             metrics.countRefused(cause);
             requestContext.clientConnection.sendProblem(requestContext, ProblemDetails.refused(cause, 0));
--- a/edge/src/main/java/thistlefall/edge/node/NodeRuntime.java
+++ b/edge/src/main/java/thistlefall/edge/node/NodeRuntime.java
@@ -40,6 +40,7 @@
         activeRequests = new ActiveRequests(
                 nodeName,
                 new RequestTracker(requestIdPrefix, limits.maxOpen(), TRACKER_MARGIN_NANOS, System.nanoTime()),
+                longestDeadline(moduleSettings),
                 metrics,
                 interceptor,
                 log,
@@ -78,6 +79,14 @@
         });
     }
 
+    /** An id is remembered as long as any request may last. */
+    private static long longestDeadline(Ports.Settings moduleSettings) {
+        return moduleSettings.classes().stream()
+                .mapToLong(Ports.RequestClass::deadline)
+                .max()
+                .orElse(0);
+    }
+
     private RequestResolver createResolver(
             NodeDefinition definition, Ports.Settings moduleSettings, EventLoop eventLoop, long seed) {
         if (definition.requestParser() != null) {
