Test: a soak of one node with leaving clients, late servers, hold-ups and signals

Checked: an effect twice, a repeat beyond its window or in another cell, a request begun over 0.1 s after its client's close, one without an answer.

--- a/cli/src/test/java/thistlefall/cli/fault/FaultClient.java
+++ b/cli/src/test/java/thistlefall/cli/fault/FaultClient.java
@@ -18,6 +18,7 @@
     private static final int MAX_WAIT_MILLIS = 10_000;
 
     private final Socket socket;
+    private boolean announcedClose;
 
     FaultClient(InetSocketAddress node) throws IOException {
         socket = new Socket(node.getAddress(), node.getPort());
@@ -67,12 +68,18 @@
             head.write(next);
             text = next == '\n' ? head.toString(StandardCharsets.ISO_8859_1) : "";
         }
+        announcedClose = text.contains("Connection: close");
         Matcher length = CONTENT_LENGTH.matcher(text);
         int bodyBytes = length.find() ? Integer.parseInt(length.group(1)) : 0;
         boolean complete = socket.getInputStream().readNBytes(bodyBytes).length == bodyBytes;
         return complete ? Integer.parseInt(text.substring(9, 12)) : 0;
     }
 
+    /** Returns whether the last response has announced that the node closes the connection. */
+    boolean announcedClose() {
+        return announcedClose;
+    }
+
     /** Closes the connection by a reset. */
     void reset() throws IOException {
         socket.setSoLinger(true, 0);
--- a/cli/src/test/java/thistlefall/cli/fault/ScriptedServer.java
+++ b/cli/src/test/java/thistlefall/cli/fault/ScriptedServer.java
@@ -26,12 +26,14 @@
 final class ScriptedServer implements AutoCloseable {
     /** How the server handles a request that it has read. */
     interface Script {
-        /** Returns the status of the response; {@link #NO_RESPONSE} leaves the request without one. */
+        /** Returns the status of the response, or {@link #NO_RESPONSE} or {@link #RESET} in place of one. */
         int handle(ReadRequest request) throws InterruptedException;
     }
 
     /** A status that stands for no response at all. */
     static final int NO_RESPONSE = 0;
+    /** A status that stands for a reset of the connection. */
+    static final int RESET = -1;
 
     /**
      * A request that the server has read to its last byte.
@@ -75,6 +77,10 @@
         return id;
     }
 
+    int cell() {
+        return cell;
+    }
+
     /** Returns its entry in the server list. */
     String entry() {
         var address = (InetSocketAddress) listener.getLocalSocketAddress();
@@ -174,6 +180,12 @@
             String requestId = field(head, "x-trace-id", "");
             ReadRequest request = record(path, requestId, field(head, "idempotency-key", requestId));
             int status = script.handle(request);
+            if (status == RESET) {
+                connection.setSoLinger(true, 0);
+                connection.close();
+                connections.remove(connection);
+                return;
+            }
             if (status != NO_RESPONSE) {
                 respond(connection, status, requestId);
             }
--- /dev/null
+++ b/cli/src/test/java/thistlefall/cli/fault/SoakRules.java
@@ -0,0 +1,108 @@
+package thistlefall.cli.fault;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import thistlefall.cli.fault.ScriptedServer.ReadRequest;
+import thistlefall.cli.fault.SoakRequest.End;
+import thistlefall.cli.fault.SoakRequest.Kind;
+
+/** Compares what clients and servers of a soak have seen with the rules. */
+final class SoakRules {
+    /** What the protocol adds to each time limit on sockets. */
+    private static final long SLACK_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+    /** How long after its client's close a request may still be begun. */
+    private static final long DEPARTURE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+    private final long keyWindowNanos;
+    private final Collection<SoakRequest> requests;
+    private final Map<String, List<ReadRequest>> readsByKey = new HashMap<>();
+    private final List<String> violations = new ArrayList<>();
+
+    SoakRules(long keyWindowNanos, Collection<SoakRequest> requests, Collection<ScriptedServer> servers) {
+        this.keyWindowNanos = keyWindowNanos;
+        this.requests = requests;
+        servers.stream()
+                .flatMap(server -> server.requests().stream())
+                .sorted(Comparator.comparingLong(ReadRequest::readAt))
+                .forEach(read -> readsByKey
+                        .computeIfAbsent(read.key(), key -> new ArrayList<>())
+                        .add(read));
+    }
+
+    /** Returns the number of requests that servers have read more than once. */
+    long repeatCount() {
+        return readsByKey.values().stream().filter(reads -> reads.size() > 1).count();
+    }
+
+    /** Returns what breaks a rule, a line each. */
+    List<String> violations(int killedProcess) {
+        Map<String, List<SoakRequest>> requestsByKey = new HashMap<>();
+        requests.forEach(request -> requestsByKey
+                .computeIfAbsent(request.key(), key -> new ArrayList<>())
+                .add(request));
+        requestsByKey.forEach((key, sent) -> {
+            List<ReadRequest> reads = readsByKey.getOrDefault(key, List.of());
+            // A process knows only the ids that it has seen itself.
+            boolean oneProcess = sent.stream()
+                            .mapToInt(request -> request.process)
+                            .distinct()
+                            .count()
+                    == 1;
+            if (oneProcess) {
+                checkEffects(sent.get(0), reads);
+            }
+            checkDepartures(sent, reads);
+        });
+        requests.stream().filter(request -> request.process != killedProcess).forEach(this::checkAnswer);
+        return violations;
+    }
+
+    private void checkEffects(SoakRequest request, List<ReadRequest> reads) {
+        for (ReadRequest repeat : reads.subList(Math.min(1, reads.size()), reads.size())) {
+            ReadRequest first = reads.get(0);
+            long after = repeat.readAt() - first.readAt();
+            if (request.kind == Kind.PAYMENT) {
+                report("ran twice", request, after);
+            } else if (request.kind == Kind.BOOKING && after > keyWindowNanos + SLACK_NANOS) {
+                report("repeat read beyond its window", request, after);
+            } else if (request.kind == Kind.BOOKING
+                    && repeat.server().cell() != first.server().cell()) {
+                report("repeat read in another cell", request, after);
+            }
+        }
+    }
+
+    /** What a server has held was handed to it before; only what it got after the close was begun late. */
+    private void checkDepartures(List<SoakRequest> sent, List<ReadRequest> reads) {
+        if (sent.stream().anyMatch(request -> request.closedAt == 0)) {
+            return;
+        }
+        long closedAt =
+                sent.stream().mapToLong(request -> request.closedAt).max().orElseThrow();
+        for (ReadRequest read : reads) {
+            if (read.heldSince() - closedAt > DEPARTURE_NANOS + SLACK_NANOS) {
+                report("begun after its client's close", sent.get(0), read.heldSince() - closedAt);
+            }
+        }
+    }
+
+    private void checkAnswer(SoakRequest request) {
+        boolean wasForwarded = readsByKey.containsKey(request.key());
+        if (request.end == End.NO_ANSWER || request.end == End.DROPPED) {
+            report("lost: " + request.end, request, 0);
+        } else if (request.end == End.CROSSED && wasForwarded) {
+            report("lost: forwarded, then its connection ended without an answer", request, 0);
+        }
+    }
+
+    private void report(String what, SoakRequest request, long nanos) {
+        violations.add(what + ": " + request.kind.name().toLowerCase(Locale.ROOT) + " " + request.id
+                + (nanos == 0 ? "" : ", " + TimeUnit.NANOSECONDS.toMillis(nanos) + " ms"));
+    }
+}
