A failing server gets what must not run twice only on a connection that it uses

What callers saw: payments begun after their clients had left, by servers that had reset all connections and took nothing for a while. The payments lay in their receive buffers, where no reset recalls them.

Cause: after resets every connection is new, and one that the system has completed counted as good; the failing server got first attempts on it.

Change: SendConditions state the proof that a connection needs. A class that isn't safe, at a server with more failures than successes, needs a connection that has carried a response, or a new one that answers a probe; a confirmation takes no longer than a connect may. An attempt without it never ran, so the request goes elsewhere or is refused. In calm times no server is in that state.

--- a/cli/src/test/java/thistlefall/cli/fault/DecisionToEffectTest.java
+++ b/cli/src/test/java/thistlefall/cli/fault/DecisionToEffectTest.java
@@ -132,6 +132,57 @@
         }
     }
 
+    /**
+     * A server that has just reset all connections takes nothing for a while. Payments whose clients leave meanwhile
+     * must not lie before it.
+     */
+    @ParameterizedTest
+    @EnumSource(Hold.class)
+    void paymentsOfClientsThatLeftDoNotWaitBeforeServerThatHadReset(Hold hold) throws Exception {
+        List<ScriptedServer> servers = startServers(1, request -> {
+            return request.path().equals("/booking") ? ScriptedServer.NO_RESPONSE : 200;
+        });
+        List<FaultClient> clients = new ArrayList<>();
+        try (var node = new NodeUnderTest(folder, servers, DecisionToEffectTest::withShortKeyWindow)) {
+            for (int i = 0; i < 2; i++) {
+                var client = new FaultClient(node.address());
+                clients.add(client);
+                client.write(FaultClient.booking("b" + i, BOOKING_SECONDS));
+            }
+            NodeProcess.awaitCondition(() -> requestsOf(servers, "/booking").size() == 2);
+            servers.forEach(server -> hold.set(server, true));
+            for (ScriptedServer server : servers) {
+                server.resetConnections();
+            }
+            NodeProcess.awaitCondition(
+                    () -> servers.stream().allMatch(server -> node.log().contains("server shunned: " + server.id())));
+            for (int i = 0; i < 8; i++) {
+                try (var client = new FaultClient(node.address())) {
+                    client.write(FaultClient.payment("p" + i, 3));
+                    // The node has read the payment, and begins no later than this what it begins at once.
+                    assertEquals(
+                            200,
+                            clientOf(node, clients).write(FaultClient.READINESS).readStatus());
+                }
+            }
+            long leftAt = System.nanoTime();
+            NodeProcess.awaitCondition(
+                    () -> System.nanoTime() - leftAt > TimeUnit.MILLISECONDS.toNanos(100) + SLACK_NANOS);
+            servers.forEach(server -> hold.set(server, false));
+            node.stop();
+            assertEquals(8, node.loggedCount("clients_gone") - node.loggedCount("never_begun"), node::log);
+            assertEquals(List.of(), requestsOf(servers, "/payment"));
+        } finally {
+            close(clients, servers);
+        }
+    }
+
+    private static FaultClient clientOf(NodeUnderTest node, List<FaultClient> clients) throws IOException {
+        var client = new FaultClient(node.address());
+        clients.add(client);
+        return client;
+    }
+
     private static void close(List<FaultClient> clients, List<ScriptedServer> servers) throws IOException {
         for (FaultClient client : clients) {
             client.close();
--- a/core/src/main/java/thistlefall/Gateway.java
+++ b/core/src/main/java/thistlefall/Gateway.java
@@ -14,6 +14,7 @@
 import java.util.stream.Stream;
 import org.ejml.simple.SimpleMatrix;
 import thistlefall.Ports.Actions;
+import thistlefall.Ports.ConnectionProof;
 import thistlefall.Ports.Group;
 import thistlefall.Ports.ListKind;
 import thistlefall.Ports.Outcome;
@@ -1481,6 +1482,10 @@
             return decayTowards(errorRate, usualErrorRate());
         }
 
+        boolean failsOften() {
+            return currentErrorRate() > 0.5;
+        }
+
         boolean inGroupOf(PendingRequest pendingRequest) {
             Server originalEntry = pendingRequest.possibleRunServer;
             return pendingRequest.classQueue.requestClass.group() == Group.ZONE
@@ -1662,7 +1667,20 @@
         if (server.isCold()) {
             latestSend = Math.min(latestSend, SendDeadlines.forColdServer(now, settings.rules()));
         }
-        return new SendConditions(latestSend, latestStart, pendingRequest.isKeyedRepeat());
+        return new SendConditions(latestSend, latestStart, requiredProof(pendingRequest, server));
+    }
+
+    /**
+     * What a server takes late must not be a repeat whose key it has forgotten. A server with many failures may be one
+     * that takes nothing for now: a request that must not run twice is better refused or sent elsewhere than left with
+     * it.
+     */
+    private static ConnectionProof requiredProof(PendingRequest pendingRequest, ServerState server) {
+        if (pendingRequest.isKeyedRepeat()) {
+            return ConnectionProof.RESPONDS_NOW;
+        }
+        boolean safe = pendingRequest.classQueue.requestClass.repeat() == Repeat.SAFE;
+        return !safe && server.failsOften() ? ConnectionProof.HAS_RESPONDED : ConnectionProof.NONE;
     }
 
     /** Starts another attempt after one that did not finish the request, or gives the final response. */
--- a/core/src/main/java/thistlefall/Ports.java
+++ b/core/src/main/java/thistlefall/Ports.java
@@ -272,10 +272,22 @@
      * @param latestSendTime what the decision relied on holds until then
      * @param latestStartTime when the server must have begun the request, as the host tells it; {@code Long.MAX_VALUE}
      *     if only the timeout of the attempt limits that
-     * @param serverMustRead whether the server must have shown directly before, on the connection, that it reads from
-     *     it; else a request that is sent in time may be taken at any later time
+     * @param proof what the server must have shown on the connection
      */
-    public record SendConditions(long latestSendTime, long latestStartTime, boolean serverMustRead) {}
+    public record SendConditions(long latestSendTime, long latestStartTime, ConnectionProof proof) {}
+
+    /**
+     * What a server must have shown on a connection before a request is sent on it. An established connection shows
+     * nothing: the server's system completes it and takes bytes on it, and the server may take them much later.
+     */
+    public enum ConnectionProof {
+        /** Nothing. */
+        NONE,
+        /** It has ever responded on it; on a new one, to a probe, if the settings allow probes. */
+        HAS_RESPONDED,
+        /** It has responded to a probe just before; without probes, it has ever responded on it. */
+        RESPONDS_NOW
+    }
 
     /** The events that the host reports, in the order in which they happen. */
     public interface Events {
--- a/core/src/test/java/thistlefall/SendConditionsTest.java
+++ b/core/src/test/java/thistlefall/SendConditionsTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import thistlefall.Ports.ConnectionProof;
 import thistlefall.Ports.ListKind;
 import thistlefall.Ports.Outcome;
 import thistlefall.Ports.Readiness;
@@ -47,7 +48,7 @@
         Ports.SendConditions conditions = last(host.attemptsOf(id)).conditions();
         assertTrue(conditions.latestSendTime() < windowEnd);
         assertTrue(conditions.latestStartTime() < windowEnd);
-        assertTrue(conditions.serverMustRead(), "what the kernel holds is not taken yet");
+        assertEquals(ConnectionProof.RESPONDS_NOW, conditions.proof(), "what the kernel holds is not taken yet");
     }
 
     /** After the machine's clock was set back, the clock of the decisions runs slower than that of the servers. */
@@ -89,12 +90,26 @@
         String id = host.request(requestClass, 1);
         SentAttempt attempt = last(host.attemptsOf(id));
         assertEquals(host.now + attempt.timeout(), attempt.latestSendTime());
-        assertFalse(attempt.conditions().serverMustRead());
+        assertEquals(ConnectionProof.NONE, attempt.conditions().proof());
         host.endAttempt(id, Outcome.CONNECT_FAILED, false);
         SentAttempt second = last(host.attemptsOf(id));
         assertEquals(host.now + second.timeout(), second.latestSendTime());
     }
 
+    /** A server that has just failed may take what it is sent at any later time, when the client has left. */
+    @ParameterizedTest
+    @ValueSource(ints = {SAFE, KEYED_CELL, UNSAFE})
+    void failingServerMustHaveRespondedOnTheConnectionOfARequestThatMustNotRunTwice(int requestClass) {
+        host.addServers(1);
+        for (int i = 0; i < 5; i++) {
+            host.endAttempt(host.request(UNSAFE, 1), Outcome.RESET, true);
+        }
+        String id = host.request(requestClass, 1);
+        assertEquals(
+                requestClass == SAFE ? ConnectionProof.NONE : ConnectionProof.HAS_RESPONDED,
+                last(host.attemptsOf(id)).conditions().proof());
+    }
+
     /** Requests that wait for their connections to a cold server must not arrive there all at once. */
     @Test
     void waitForConnectionToColdServerIsBounded() {
--- a/edge/src/main/java/thistlefall/edge/node/ActionExecutor.java
+++ b/edge/src/main/java/thistlefall/edge/node/ActionExecutor.java
@@ -8,10 +8,12 @@
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import thistlefall.Ports;
+import thistlefall.Ports.ConnectionProof;
 import thistlefall.Ports.Outcome;
 import thistlefall.Ports.Reason;
 import thistlefall.Ports.Request;
 import thistlefall.Ports.Result;
+import thistlefall.attempt.EndReason;
 import thistlefall.clock.MonotonicWallClock;
 import thistlefall.edge.http.HttpFields;
 import thistlefall.edge.upstream.ConnectionConfirmation;
@@ -209,7 +211,7 @@
                 new Attempt.SendLimits(
                         durationUntil(conditions.latestSendTime()),
                         durationUntil(conditions.latestStartTime()),
-                        conditions.serverMustRead()));
+                        conditions.proof()));
     }
 
     /** Returns how long the module's clock takes to reach a time, at the least. */
@@ -217,14 +219,28 @@
         return MonotonicWallClock.minimumElapsed(moduleTime - clock.now());
     }
 
-    /** Acquires a connection on which the server has shown that it reads; null if there is nothing to cancel. */
-    ConnectionConfirmation acquireConfirmed(ServerConnectionPool pool, Attempt attempt, boolean headRequest) {
-        if (!settings.limits().probesAllowed()) {
-            pool.acquireUsed(attempt, headRequest, attempt);
+    /** Acquires a connection for an attempt; returns the confirmation that it waits for, null if it waits for none. */
+    ConnectionConfirmation acquireConnection(
+            ServerConnectionPool pool, Attempt attempt, boolean headRequest, ConnectionProof proof) {
+        boolean probesAllowed = settings.limits().probesAllowed();
+        if (proof == ConnectionProof.NONE) {
+            pool.acquire(attempt, headRequest, attempt);
             return null;
         }
-        metrics.confirmations++;
-        return pool.acquireConfirmed(serverPools.probePath(), attempt, headRequest, attempt);
+        boolean usedConnectionSuffices = proof == ConnectionProof.HAS_RESPONDED || !probesAllowed;
+        if (usedConnectionSuffices && pool.tryAcquireUsed(attempt, headRequest, attempt)) {
+            return null;
+        }
+        if (probesAllowed) {
+            metrics.confirmations++;
+            return pool.acquireConfirmed(serverPools.probePath(), attempt, headRequest, attempt);
+        }
+        if (proof == ConnectionProof.HAS_RESPONDED) {
+            pool.acquire(attempt, headRequest, attempt);
+        } else {
+            attempt.unavailable(EndReason.UNCONFIRMED);
+        }
+        return null;
     }
 
     @Override
--- a/edge/src/main/java/thistlefall/edge/node/Attempt.java
+++ b/edge/src/main/java/thistlefall/edge/node/Attempt.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import java.util.List;
+import thistlefall.Ports.ConnectionProof;
 import thistlefall.Ports.Outcome;
 import thistlefall.attempt.AttemptProgress;
 import thistlefall.attempt.EndReason;
@@ -33,9 +34,9 @@
      *
      * @param sendTime how long it may wait for its first byte
      * @param startTime within which time the server must have begun the request
-     * @param serverMustRead whether the server must have shown on the connection that it reads from it
+     * @param proof what the server must have shown on the connection
      */
-    record SendLimits(long sendTime, long startTime, boolean serverMustRead) {}
+    record SendLimits(long sendTime, long startTime, ConnectionProof proof) {}
 
     private static final long RESPONSE_FORWARD_TIMEOUT_NANOS = 30_000_000_000L;
 
@@ -156,11 +157,7 @@
 
     private void acquireConnection() {
         boolean headRequest = requestContext.head.method().equals("HEAD");
-        if (sendLimits.serverMustRead()) {
-            confirmation = executor.acquireConfirmed(pool, this, headRequest);
-        } else {
-            pool.acquire(this, headRequest, this);
-        }
+        confirmation = executor.acquireConnection(pool, this, headRequest, sendLimits.proof());
     }
 
     private void send(ServerConnection acquiredConnection) {
--- a/edge/src/main/java/thistlefall/edge/upstream/ConnectionConfirmation.java
+++ b/edge/src/main/java/thistlefall/edge/upstream/ConnectionConfirmation.java
@@ -13,7 +13,8 @@
 /**
  * Acquires a connection on which the server has just shown that it reads, by its response to a probe. An established
  * connection shows nothing of the kind: the system completes it, and takes bytes on it, before the server accepts it.
- * After the response the connection rests for the minimum idle time, like any other. Used on one event loop only.
+ * It takes no longer than a connect may; after the response the connection rests for the minimum idle time, like any
+ * other. Used on one event loop only.
  */
 public final class ConnectionConfirmation implements ServerConnectionPool.AcquireCallback, ResponseHandler {
     private final EventLoop loop;
@@ -23,6 +24,7 @@
     private final boolean headRequest;
     private final ServerConnectionPool.AcquireCallback callback;
     private ServerConnection connection;
+    private Future<?> timeout;
     private Future<?> rest;
     private boolean ended;
 
@@ -41,12 +43,16 @@
         this.callback = callback;
     }
 
+    void start() {
+        timeout = loop.schedule(this::timeOut, pool.limits().connectTimeout(), TimeUnit.NANOSECONDS);
+        pool.acquire(this, false, this);
+    }
+
     /** Ends the confirmation without a result; has no effect once it has one. */
     public void cancel() {
-        if (ended) {
+        if (!end()) {
             return;
         }
-        ended = true;
         if (rest != null) {
             rest.cancel(false);
             connection.release();
@@ -55,6 +61,21 @@
         }
     }
 
+    private void timeOut() {
+        if (!ended && rest == null) {
+            cancel();
+            callback.unavailable(EndReason.UNCONFIRMED);
+        }
+    }
+
+    /** Ends the confirmation; returns false if it has ended before. */
+    private boolean end() {
+        boolean endsNow = !ended;
+        ended = true;
+        timeout.cancel(false);
+        return endsNow;
+    }
+
     @Override
     public void acquired(ServerConnection acquiredConnection) {
         if (ended) {
@@ -90,7 +111,7 @@
             return;
         }
         if (pool.takeIdle(connection)) {
-            rest = loop.schedule(this::deliver, pool.minIdleTime(), TimeUnit.NANOSECONDS);
+            rest = loop.schedule(this::deliver, pool.limits().minIdleTime(), TimeUnit.NANOSECONDS);
         } else {
             fail(EndReason.UNCONFIRMED);
         }
@@ -101,7 +122,7 @@
             return;
         }
         if (pool.beginReservedExchange(connection, handler, headRequest)) {
-            ended = true;
+            end();
             callback.acquired(connection);
         } else {
             fail(EndReason.UNCONFIRMED);
@@ -119,8 +140,7 @@
     }
 
     private void fail(EndReason reason) {
-        if (!ended) {
-            ended = true;
+        if (end()) {
             callback.unavailable(reason);
         }
     }
--- a/edge/src/main/java/thistlefall/edge/upstream/ServerConnectionPool.java
+++ b/edge/src/main/java/thistlefall/edge/upstream/ServerConnectionPool.java
@@ -132,23 +132,23 @@
     public ConnectionConfirmation acquireConfirmed(
             String probePath, ResponseHandler handler, boolean headRequest, AcquireCallback callback) {
         var confirmation = new ConnectionConfirmation(loop, this, probePath, handler, headRequest, callback);
-        acquire(confirmation, false, confirmation);
+        confirmation.start();
         return confirmation;
     }
 
-    /** Acquires a connection on which the server has responded before; none is opened for this. */
-    public void acquireUsed(ResponseHandler handler, boolean headRequest, AcquireCallback callback) {
+    /** Acquires a connection on which the server has responded before; returns false if none is idle. */
+    public boolean tryAcquireUsed(ResponseHandler handler, boolean headRequest, AcquireCallback callback) {
         ServerConnection connection = findReusableConnection();
-        if (connection != null && connection.hasServerSent() && takeIdle(connection)) {
-            connection.beginExchange(handler, headRequest);
-            callback.acquired(connection);
-        } else {
-            callback.unavailable(EndReason.UNCONFIRMED);
+        if (connection == null || !connection.hasServerSent() || !takeIdle(connection)) {
+            return false;
         }
+        connection.beginExchange(handler, headRequest);
+        callback.acquired(connection);
+        return true;
     }
 
-    long minIdleTime() {
-        return limits.minIdleTime();
+    PoolLimits limits() {
+        return limits;
     }
 
     /** Takes an idle connection out of the pool, for one caller; returns false if it is not idle any more. */
