Client connections: the encoding of responses in a class of its own; small clean-up

The pool's count of connects in progress is the size of its set. SendPermission is a time only, as what withdrew it also ended the attempt; a withdrawal is counted only if the attempt still waits.

Result: behaviour unchanged; the tests of platform and of the node on sockets pass.

--- a/edge/src/main/java/thistlefall/edge/node/Attempt.java
+++ b/edge/src/main/java/thistlefall/edge/node/Attempt.java
@@ -239,7 +239,6 @@
     }
 
     private void endUnlessSent() {
-        sendPermission.withdraw();
         if (progress.compareTo(AttemptProgress.WRITTEN) < 0) {
             executor.countLateSend();
             end(EndReason.OVERDUE);
@@ -248,8 +247,7 @@
 
     /** Takes the attempt back if no byte of it has been sent. */
     void withdraw() {
-        if (progress == AttemptProgress.WAITING) {
-            sendPermission.withdraw();
+        if (!ended && progress == AttemptProgress.WAITING) {
             executor.countWithdrawnSend();
             end(EndReason.WITHDRAWN);
         }
--- a/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
@@ -14,9 +14,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import thistlefall.edge.http.BodyEnd;
-import thistlefall.edge.http.Framing;
 import thistlefall.edge.http.HttpFields;
-import thistlefall.edge.http.HttpWriter;
 import thistlefall.edge.http.MalformedMessageException;
 import thistlefall.edge.http.MessageHead;
 import thistlefall.edge.http.RequestDecoder;
@@ -50,6 +48,7 @@
     private final RequestDecoder decoder;
     private final RequestPipeline pendingRequests;
     private final MemoryBudget.Account memory;
+    private final ResponseEncoder responseEncoder;
     private final ClientPresence presence = new ClientPresence();
     private Channel channel;
     private RequestContext receivingRequest;
@@ -58,7 +57,6 @@
 
     private MalformedMessageException decodeError;
     private final ConnectionLifecycle lifecycle = new ConnectionLifecycle();
-    private boolean chunkedResponse;
     private boolean dispatching;
     private boolean receiveTimerActive;
     private long openedAt;
@@ -86,6 +84,7 @@
         this.limits = limits;
         this.dialect = dialect;
         this.decoder = decoder;
+        responseEncoder = new ResponseEncoder(dialect);
         pendingRequests = new RequestPipeline(limits.maxPipelined(), limits.replayBody());
         memory = connectionManager.clientMemory().openAccount();
     }
@@ -489,25 +488,9 @@
         if (!channel.isActive()) {
             return;
         }
-        byte[] body = problem.body();
-        ByteBuf out = HttpWriter.beginResponse(channel.alloc(), problem.status());
-        HttpWriter.writeField(out, "Content-Type", "application/problem+json");
-        if (problem.retryAfter() > 0) {
-            HttpWriter.writeField(out, "Retry-After", dialect.formatRetryAfter(problem.retryAfter()));
-        }
-        if (problem.wwwAuthenticate() != null) {
-            HttpWriter.writeField(out, "WWW-Authenticate", problem.wwwAuthenticate());
-        }
-        HttpWriter.writeContentLength(out, body.length);
-        if (close) {
-            HttpWriter.writeConnectionClose(out);
-        }
         boolean headOnly = !pendingRequests.isEmpty()
                 && pendingRequests.first().head.method().equals("HEAD");
-        HttpWriter.endHead(out);
-        if (!headOnly) {
-            out.writeBytes(body);
-        }
+        ByteBuf out = responseEncoder.encodeProblem(channel.alloc(), problem, headOnly, close);
         channel.writeAndFlush(out);
         startWriteStallTimer();
     }
@@ -515,29 +498,10 @@
     /** Starts forwarding a server's response by writing its head. */
     void startResponse(RequestContext requestContext, MessageHead.ResponseHead head) {
         requestContext.responseStarted = true;
-        boolean closeDelimited = false;
-        ByteBuf out = HttpWriter.beginResponse(channel.alloc(), head.status());
-        head.fields().writeExcept(out, dialect.internalFields(), head.fields().connectionOptions());
-        Framing framing = head.framing();
-        boolean headRequest = requestContext.head.method().equals("HEAD");
-        boolean noBody = headRequest || head.status() == 204 || head.status() == 304;
-        chunkedResponse = false;
-        if (!noBody) {
-            if (framing.kind() == Framing.FramingKind.CHUNKED || framing.kind() == Framing.FramingKind.CLOSE) {
-                chunkedResponse = requestContext.head.minorVersion() >= 1;
-                closeDelimited = !chunkedResponse;
-                framing = chunkedResponse ? Framing.CHUNKED : Framing.NONE;
-                if (chunkedResponse) {
-                    HttpWriter.writeFraming(out, framing, false);
-                }
-            } else {
-                HttpWriter.writeFraming(out, framing, true);
-            }
-        }
-        if (announcesClose(closeDelimited || !requestContext.head.keepAlive() || !requestContext.body.isComplete())) {
-            HttpWriter.writeConnectionClose(out);
-        }
-        channel.write(HttpWriter.endHead(out));
+        boolean endsWithConnection = responseEncoder.beginForwarding(requestContext.head, head);
+        boolean lastResponse =
+                endsWithConnection || !requestContext.head.keepAlive() || !requestContext.body.isComplete();
+        channel.write(responseEncoder.encodeHead(channel.alloc(), head, announcesClose(lastResponse)));
     }
 
     /** Writes a piece of the response body; returns false if the connection is not writable for now. */
@@ -546,7 +510,7 @@
             piece.release();
             return true;
         }
-        HttpWriter.writeBodyPiece(channel, piece, chunkedResponse);
+        responseEncoder.writePiece(channel, piece);
         startWriteStallTimer();
         responseBytesWritten();
         return channel.isWritable();
@@ -554,10 +518,7 @@
 
     /** Completes the response. */
     void endResponse(RequestContext requestContext, HttpFields trailers) {
-        if (chunkedResponse) {
-            channel.write(HttpWriter.createLastChunk(channel.alloc(), trailers));
-        }
-        channel.flush();
+        responseEncoder.writeEnd(channel, trailers);
         responseFinished(requestContext);
     }
 
--- a/edge/src/main/java/thistlefall/edge/upstream/ServerConnectionPool.java
+++ b/edge/src/main/java/thistlefall/edge/upstream/ServerConnectionPool.java
@@ -72,7 +72,6 @@
 
     private final Set<ServerConnection> openConnections = new HashSet<>();
     private final Set<PendingConnection> pendingConnections = new HashSet<>();
-    private int connectsInProgress;
     private boolean draining;
     private boolean idleCheckScheduled;
 
@@ -102,7 +101,7 @@
 
     /** The number of connections that are open or being established. */
     public int connectionCount() {
-        return openConnections.size() + connectsInProgress;
+        return openConnections.size() + pendingConnections.size();
     }
 
     /** The number of open connections without an exchange. */
@@ -214,7 +213,6 @@
     }
 
     private void connect(ResponseHandler handler, boolean headRequest, AcquireCallback callback) {
-        connectsInProgress++;
         var decoder = new ResponseDecoder(httpLimits);
         long maxConnectTimeout = Math.max(limits.connectTimeout(), limits.lateConnectTimeout());
         var bootstrap = Transports.bootstrap(loop, address, maxConnectTimeout / 1_000_000)
@@ -262,7 +260,6 @@
         }
 
         void completed(ChannelFuture connectFuture) {
-            connectsInProgress--;
             pendingConnections.remove(this);
             if (timeoutTask != null) {
                 timeoutTask.cancel(false);
