Test: the soak drains servers too and counts what was read late out of a hold

Need: a drain is one more decision that is taken before the server takes a request; and the limit that stays (first attempts in the receive buffer of a server that does not read) is to be seen in figures.

Requests read late after their client's close out of a hold are counted in the summary.

--- a/cli/src/test/java/thistlefall/cli/fault/NodeUnderTest.java
+++ b/cli/src/test/java/thistlefall/cli/fault/NodeUnderTest.java
@@ -71,6 +71,11 @@
         NodeProcess.sendSignal(process, name);
     }
 
+    /** Has discovery send a change of the server list. */
+    void changeServers(String... entries) {
+        environment.discovery().sendDelta(List.of(entries));
+    }
+
     /** Lets the process open no further descriptor, or as many as before; what it has open stays open. */
     void setDescriptorsExhausted(boolean exhausted) throws Exception {
         String softLimit =
--- a/cli/src/test/java/thistlefall/cli/fault/SoakRules.java
+++ b/cli/src/test/java/thistlefall/cli/fault/SoakRules.java
@@ -19,10 +19,14 @@
     /** How long after its client's close a request may still be begun. */
     private static final long DEPARTURE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
+    /** The grace of the configuration, which covers a hold-up of the node too. */
+    private static final long DRAIN_GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
     private final long keyWindowNanos;
     private final Collection<SoakRequest> requests;
     private final Map<String, List<ReadRequest>> readsByKey = new HashMap<>();
     private final List<String> violations = new ArrayList<>();
+    private int heldReads;
 
     SoakRules(long keyWindowNanos, Collection<SoakRequest> requests, Collection<ScriptedServer> servers) {
         this.keyWindowNanos = keyWindowNanos;
@@ -40,6 +44,11 @@
         return readsByKey.values().stream().filter(reads -> reads.size() > 1).count();
     }
 
+    /** Returns how many requests servers have read late after their clients' close, out of what they had held. */
+    int heldReadCount() {
+        return heldReads;
+    }
+
     /** Returns what breaks a rule, a line each. */
     List<String> violations(int killedProcess) {
         Map<String, List<SoakRequest>> requestsByKey = new HashMap<>();
@@ -58,6 +67,7 @@
                 checkEffects(sent.get(0), reads);
             }
             checkDepartures(sent, reads);
+            reads.forEach(read -> checkDrain(sent.get(0), read));
         });
         requests.stream().filter(request -> request.process != killedProcess).forEach(this::checkAnswer);
         return violations;
@@ -88,10 +98,19 @@
         for (ReadRequest read : reads) {
             if (read.heldSince() - closedAt > DEPARTURE_NANOS + SLACK_NANOS) {
                 report("begun after its client's close", sent.get(0), read.heldSince() - closedAt);
+            } else if (read.readAt() - closedAt > DEPARTURE_NANOS + SLACK_NANOS) {
+                heldReads++;
             }
         }
     }
 
+    private void checkDrain(SoakRequest request, ReadRequest read) {
+        long after = read.heldSince() - read.drainingSince();
+        if (read.drainingSince() != 0 && after > DRAIN_GRACE_NANOS + SLACK_NANOS) {
+            report("sent to a draining server", request, after);
+        }
+    }
+
     private void checkAnswer(SoakRequest request) {
         boolean wasForwarded = readsByKey.containsKey(request.key());
         if (request.end == End.NO_ANSWER || request.end == End.DROPPED) {
