--- a/cli/src/test/java/thistlefall/cli/fault/DecisionToEffectTest.java
+++ b/cli/src/test/java/thistlefall/cli/fault/DecisionToEffectTest.java
@@ -80,6 +80,17 @@
         }
     }
 
+    /** Sends bookings and waits until all of them have been read by servers. */
+    private static List<FaultClient> beginBookings(NodeUnderTest node, List<ScriptedServer> servers, int count)
+            throws IOException {
+        List<FaultClient> clients = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            clients.add(new FaultClient(node.address()).write(FaultClient.booking("b" + i, BOOKING_SECONDS)));
+        }
+        NodeProcess.awaitCondition(() -> requestsOf(servers, "/booking").size() == count);
+        return clients;
+    }
+
     /** Returns the repeats that the servers have read after their key was forgotten. */
     private static List<String> lateRepeats(List<ScriptedServer> servers) {
         Map<String, Long> firstReadAt = new HashMap<>();
@@ -106,12 +117,7 @@
         });
         List<FaultClient> clients = new ArrayList<>();
         try (var node = new NodeUnderTest(folder, servers, DecisionToEffectTest::withShortKeyWindow)) {
-            for (int i = 0; i < BOOKINGS; i++) {
-                var client = new FaultClient(node.address());
-                clients.add(client);
-                client.write(FaultClient.booking("b" + i, BOOKING_SECONDS));
-            }
-            NodeProcess.awaitCondition(() -> requestsOf(servers, "/booking").size() == BOOKINGS);
+            clients.addAll(beginBookings(node, servers, BOOKINGS));
             List<ReadRequest> first = requestsOf(servers, "/booking");
             long windowEnd = first.get(BOOKINGS - 1).readAt() + KEY_WINDOW_NANOS + SLACK_NANOS;
             servers.forEach(server -> hold.set(server, true));
@@ -144,12 +150,7 @@
         });
         List<FaultClient> clients = new ArrayList<>();
         try (var node = new NodeUnderTest(folder, servers, DecisionToEffectTest::withShortKeyWindow)) {
-            for (int i = 0; i < 2; i++) {
-                var client = new FaultClient(node.address());
-                clients.add(client);
-                client.write(FaultClient.booking("b" + i, BOOKING_SECONDS));
-            }
-            NodeProcess.awaitCondition(() -> requestsOf(servers, "/booking").size() == 2);
+            clients.addAll(beginBookings(node, servers, 2));
             servers.forEach(server -> hold.set(server, true));
             for (ScriptedServer server : servers) {
                 server.resetConnections();
