--- a/cli/src/test/java/thistlefall/cli/NodeProcess.java
+++ b/cli/src/test/java/thistlefall/cli/NodeProcess.java
@@ -22,7 +22,7 @@
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(jvmOptions);
-        command.addAll(List.of("-cp", System.getProperty("java.class.path"), Launcher.class.getName(), "platform"));
+        command.addAll(List.of("-cp", JarClassPath.get(), Launcher.class.getName(), "platform"));
         var builder = new ProcessBuilder(command);
         builder.environment().remove("EDGE_CONFIG");
         if (config != null) {
