Read again: closed connections aren't kept, stretches of input, waiting attempts end

Need: the change was read as a whole once more.

Change: a connection that has closed while it rested after a probe is not put among the idle ones (its place would have been counted twice). An attempt whose client is found to have left ends in any case. A stretch of input without a pause begins anew after a second of silence, so that an old one can't refuse a later request. A socket that can't become a channel is closed.

Result: the tests of departed clients, late connections, repeats, ids and pools pass; none of the four was seen to do harm.

--- a/edge/src/main/java/thistlefall/edge/node/Attempt.java
+++ b/edge/src/main/java/thistlefall/edge/node/Attempt.java
@@ -136,6 +136,7 @@
                 acquiredConnection.release();
                 executor.countDepartureFoundAtSend();
                 requestContext.clientConnection.clientLeft();
+                end(EndReason.WITHDRAWN);
             }
             case UNKNOWN -> {
                 acquiredConnection.release();
--- a/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
@@ -254,10 +254,10 @@
 
     /** Goes on with the request that waits until the client's input has been read. */
     private void continueAfterRead() {
+        dispatchPending();
         if (presence.isUnknownForLongerThan(limits.headTimeout().toNanos())) {
             refuseUndispatched();
         }
-        dispatchPending();
         RequestContext firstPending = pendingRequests.first();
         if (firstPending != null && firstPending.currentAttempt != null) {
             firstPending.currentAttempt.clientInputRead();
--- a/edge/src/main/java/thistlefall/edge/node/ClientPresence.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientPresence.java
@@ -21,11 +21,16 @@
     /** How long a client counts as present once its socket has been asked; a close must be noticed within 0.1 s. */
     private static final long VALIDITY = 10_000_000L;
 
+    /** A client that is seen sending again after this time has paused in between. */
+    private static final long MAX_PAUSE = 1_000_000_000L;
+
     private static final long NEVER = Long.MIN_VALUE;
 
     private Channel channel;
     private long presentAt = NEVER;
     private long unknownSince = NEVER;
+    /** When the socket last held unread bytes. */
+    private long unknownAt;
 
     /** Sets the connection's channel, before anything else is called. */
     void setChannel(Channel newChannel) {
@@ -46,7 +51,9 @@
             }
             case END -> State.LEFT;
             case BYTES -> {
-                unknownSince = unknownSince == NEVER ? now : unknownSince;
+                boolean continuing = unknownSince != NEVER && now - unknownAt < MAX_PAUSE;
+                unknownSince = continuing ? unknownSince : now;
+                unknownAt = now;
                 yield State.UNKNOWN;
             }
         };
--- a/edge/src/main/java/thistlefall/edge/node/ClientSocketChannel.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientSocketChannel.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
@@ -34,8 +35,13 @@
             if (socket == null) {
                 return 0;
             }
-            accepted.add(new ClientSocketChannel(this, socket));
-            return 1;
+            try {
+                accepted.add(new ClientSocketChannel(this, socket));
+                return 1;
+            } catch (ChannelException e) {
+                socket.close();
+                throw e;
+            }
         }
     }
 
--- a/edge/src/main/java/thistlefall/edge/upstream/ServerConnectionPool.java
+++ b/edge/src/main/java/thistlefall/edge/upstream/ServerConnectionPool.java
@@ -293,7 +293,7 @@
     }
 
     void release(ServerConnection connection) {
-        if (draining) {
+        if (draining || !connection.channel().isActive()) {
             connection.channel().close();
             return;
         }
