Nodes with bearer tokens too ask the client's socket before they begin

What callers saw: nothing in the records; the same mistake in related code. A node whose clients may pipeline began the request of a client that had closed while the node was held up.

Cause: the client's socket was asked only where clients send one request at a time.

Change: the socket is asked on every node. Where clients may pipeline, further bytes don't hold a request up; a byte that was read ahead waits while reading pauses.

Evidence: DepartedBearerClientTest (the event loop is held in its clock), the request reached the server before. EdgeNodeTest and OutcomeOverSocketsTest pass.

--- a/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
@@ -255,7 +255,8 @@
     /** Goes on with the request that waits until the client's input has been read. */
     private void continueAfterRead() {
         dispatchPending();
-        if (presence.isUnknownForLongerThan(limits.headTimeout().toNanos())) {
+        if (refusesSurplus()
+                && presence.isUnknownForLongerThan(limits.headTimeout().toNanos())) {
             refuseUndispatched();
         }
         RequestContext firstPending = pendingRequests.first();
@@ -274,9 +275,11 @@
         writeDueRefusals();
     }
 
-    /** Returns what is known of the client; one that may pipeline counts as present until its close has been read. */
+    /** Returns what is known of the client; one that may pipeline counts as present while it has sent more. */
     ClientPresence.State presence() {
-        return dialect.allowsPipelining() ? ClientPresence.State.PRESENT : presence.state();
+        ClientPresence.State state = presence.state();
+        boolean maySendMore = state == ClientPresence.State.UNKNOWN && dialect.allowsPipelining();
+        return maySendMore ? ClientPresence.State.PRESENT : state;
     }
 
     /** Handles the close of the client before the event loop has read it. */
--- a/edge/src/main/java/thistlefall/edge/node/ClientSocketChannel.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientSocketChannel.java
@@ -72,17 +72,30 @@
         }
         byteReadAhead.flip();
         if (length > 0) {
-            eventLoop().schedule(this::readByteReadAhead, READ_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+            scheduleRead();
         }
         return length > 0 ? UnreadInput.BYTES : length == 0 ? UnreadInput.NONE : UnreadInput.END;
     }
 
+    private void scheduleRead() {
+        eventLoop().schedule(this::readByteReadAhead, READ_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     private void readByteReadAhead() {
-        if (byteReadAhead.hasRemaining() && isOpen()) {
+        if (byteReadAhead.hasRemaining() && isOpen() && config().isAutoRead()) {
             unsafe().read();
         }
     }
 
+    /** Called when reading resumes after a pause. */
+    @Override
+    protected void doBeginRead() throws Exception {
+        super.doBeginRead();
+        if (byteReadAhead.hasRemaining()) {
+            scheduleRead();
+        }
+    }
+
     @Override
     protected int doReadBytes(ByteBuf buffer) throws Exception {
         if (!byteReadAhead.hasRemaining()) {
--- a/standin/src/test/java/thistlefall/standin/EdgeNodeFixture.java
+++ b/standin/src/test/java/thistlefall/standin/EdgeNodeFixture.java
@@ -35,12 +35,17 @@
     }
 
     EdgeNodeFixture(NodeSettings.CounterSettings counter, int... serverPorts) throws IOException {
+        this(counter, WallClock.SYSTEM, serverPorts);
+    }
+
+    /** Starts a node that reads the given wall clock on its event loop, about once a second. */
+    EdgeNodeFixture(NodeSettings.CounterSettings counter, WallClock wallClock, int... serverPorts) throws IOException {
         introspection = new IntrospectionServer(eventLoopGroup.next(), null, null, "edge", "secret");
         introspection.listen("127.0.0.1", 0);
         introspection.issue("good", new IntrospectionServer.IssuedToken("agent-1", "basic", "book", 0));
         serverListFile = Files.createTempFile("servers", ".json");
         writeServerList(serverPorts);
-        node = EdgeNode.start(settings(counter), new EdgeNode.Options(3, WallClock.SYSTEM, NodeInterceptor.NONE));
+        node = EdgeNode.start(settings(counter), new EdgeNode.Options(3, wallClock, NodeInterceptor.NONE));
         // The node rereads the server list file periodically; a server that reports no error is listed within one
         // period.
         awaitCondition(() -> get("/ready", "good", "").startsWith("HTTP/1.1 404")
