The counts say what the event loop spends its time on and its longest pass

Change: package edge.loop; the counts have loop_passes, loop_longest_pass_us, loop_sockets_us and loop_tasks_us.

--- /dev/null
+++ b/edge/src/main/java/thistlefall/edge/loop/MeasuredIoHandler.java
@@ -0,0 +1,94 @@
+package thistlefall.edge.loop;
+
+import io.netty.channel.IoHandle;
+import io.netty.channel.IoHandler;
+import io.netty.channel.IoHandlerContext;
+import io.netty.channel.IoRegistration;
+import thistlefall.edge.loop.LoopUsage.Work;
+
+/** Measures the passes of an event loop around another I/O handler. Used on the event loop, except {@link #wakeup}. */
+final class MeasuredIoHandler implements IoHandler {
+    private final IoHandler delegate;
+    private final LoopUsage usage;
+    private final MeasuredContext measuredContext = new MeasuredContext();
+    private long finishedAt;
+
+    MeasuredIoHandler(IoHandler delegate, LoopUsage usage) {
+        this.delegate = delegate;
+        this.usage = usage;
+    }
+
+    /** Passes on the context of the event loop and takes the time that the handler reports as spent on sockets. */
+    private final class MeasuredContext implements IoHandlerContext {
+        private IoHandlerContext context;
+
+        @Override
+        public boolean canBlock() {
+            return context.canBlock();
+        }
+
+        @Override
+        public long delayNanos(long currentTimeNanos) {
+            return context.delayNanos(currentTimeNanos);
+        }
+
+        @Override
+        public long deadlineNanos() {
+            return context.deadlineNanos();
+        }
+
+        @Override
+        public boolean shouldReportActiveIoTime() {
+            return true;
+        }
+
+        @Override
+        public void reportActiveIoTime(long activeNanos) {
+            usage.add(Work.SOCKETS, activeNanos);
+            if (context.shouldReportActiveIoTime()) {
+                context.reportActiveIoTime(activeNanos);
+            }
+        }
+    }
+
+    @Override
+    public void initialize() {
+        finishedAt = System.nanoTime();
+        delegate.initialize();
+    }
+
+    @Override
+    public int run(IoHandlerContext context) {
+        usage.add(Work.TASKS, System.nanoTime() - finishedAt);
+        usage.endPass();
+        measuredContext.context = context;
+        int handled = delegate.run(measuredContext);
+        finishedAt = System.nanoTime();
+        return handled;
+    }
+
+    @Override
+    public void prepareToDestroy() {
+        delegate.prepareToDestroy();
+    }
+
+    @Override
+    public void destroy() {
+        delegate.destroy();
+    }
+
+    @Override
+    public IoRegistration register(IoHandle handle) throws Exception {
+        return delegate.register(handle);
+    }
+
+    @Override
+    public void wakeup() {
+        delegate.wakeup();
+    }
+
+    @Override
+    public boolean isCompatible(Class<? extends IoHandle> handleType) {
+        return delegate.isCompatible(handleType);
+    }
+}
--- /dev/null
+++ b/edge/src/main/java/thistlefall/edge/loop/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * The event loop of a node: an event loop of Netty whose passes are measured and bounded. Depends on no other package
+ * of the node.
+ */
+package thistlefall.edge.loop;
--- a/edge/src/main/java/thistlefall/edge/node/EdgeNode.java
+++ b/edge/src/main/java/thistlefall/edge/node/EdgeNode.java
@@ -8,10 +8,8 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.local.LocalServerChannel;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -22,6 +20,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import thistlefall.edge.http.RequestDecoder;
+import thistlefall.edge.loop.NodeEventLoop;
 import thistlefall.edge.settings.Defaults;
 import thistlefall.edge.settings.NodeSettings;
 import thistlefall.edge.upstream.NodeAllocator;
@@ -65,7 +64,7 @@
         }
     }
 
-    private final MultiThreadIoEventLoopGroup eventLoopGroup;
+    private final NodeEventLoop nodeEventLoop;
     private final EventLoop eventLoop;
     private final NodeRuntime runtime;
     private final Channel serverChannel;
@@ -74,11 +73,8 @@
 
     private EdgeNode(NodeDefinition definition, Options options) throws IOException {
         Logger log = LoggerFactory.getLogger("thistlefall.node");
-        eventLoopGroup = new MultiThreadIoEventLoopGroup(
-                1,
-                new DefaultThreadFactory("thistlefall-" + definition.name(), true),
-                Transports.ioHandlerFactory(definition.listen()));
-        eventLoop = eventLoopGroup.next();
+        nodeEventLoop = new NodeEventLoop(definition.name(), Transports.ioHandlerFactory(definition.listen()));
+        eventLoop = nodeEventLoop.loop();
         lingerTimeout = definition.limits().linger();
         try {
             runtime = eventLoop
@@ -87,7 +83,7 @@
                     .getNow();
             serverChannel = bind(definition);
         } catch (RuntimeException e) {
-            eventLoopGroup.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+            nodeEventLoop.shutdown(100);
             throw e;
         }
         log.atInfo()
@@ -100,7 +96,7 @@
         var limits = definition.limits();
         Logger log = LoggerFactory.getLogger("thistlefall.node");
         var bootstrap = new ServerBootstrap()
-                .group(eventLoopGroup)
+                .group(nodeEventLoop.group())
                 .handler(new AcceptFailureHandler(log, runtime.metrics()))
                 .childOption(ChannelOption.ALLOCATOR, NodeAllocator.INSTANCE)
                 .childOption(
@@ -138,7 +134,7 @@
         }
         var bindFuture = bootstrap.bind(definition.listen()).awaitUninterruptibly();
         if (!bindFuture.isSuccess()) {
-            eventLoopGroup.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+            nodeEventLoop.shutdown(100);
             throw new IOException(
                     "can't listen at " + Transports.hostHeader(definition.listen()) + ": "
                             + bindFuture.cause().getMessage(),
@@ -179,6 +175,7 @@
         metrics.put("client_memory_peak", clientMemory.peak());
         metrics.put("client_memory_limit", clientMemory.limit());
         metrics.put("direct_memory", DirectMemory.allocated());
+        nodeEventLoop.usage().addTo(metrics);
         return metrics;
     }
 
@@ -222,7 +219,7 @@
         } catch (java.util.concurrent.ExecutionException | java.util.concurrent.TimeoutException e) {
             LoggerFactory.getLogger("thistlefall.node").warn("stopped before the shutdown was complete", e);
         }
-        eventLoopGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(2_000);
+        nodeEventLoop.shutdown(1_000).awaitUninterruptibly(2_000);
     }
 
     /** Advances the shutdown, runs the first step of a new phase and schedules the next check. */
@@ -270,7 +267,7 @@
         stopped = true;
         serverChannel.close();
         eventLoop.submit(runtime::kill).awaitUninterruptibly(2_000);
-        eventLoopGroup.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS).awaitUninterruptibly(2_000);
+        nodeEventLoop.shutdown(200).awaitUninterruptibly(2_000);
     }
 
     /** Blocks the node's event loop, as a long garbage collection would. For rehearsals and tests. */
