--- /dev/null
+++ b/cli/src/test/java/thistlefall/cli/fault/ClientFloodTest.java
@@ -0,0 +1,74 @@
+package thistlefall.cli.fault;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import thistlefall.cli.fault.UsualClients.Summary;
+
+/**
+ * Guards against work of one client that others pay for: clients that send at full speed made the answers of others up
+ * to 2 s late. Each flood meets a node from the first second of its life; a second node without a flood plays beside it
+ * and shows what the machine itself does.
+ */
+class ClientFloodTest {
+    private static final int USUAL_CLIENTS = 10;
+    private static final int SERVERS = 10;
+    private static final int SERVER_DELAY_MILLIS = 20;
+    private static final long FLOOD_MILLIS = Long.getLong("flood.millis", 1_500);
+    private static final long AFTERWARDS_MILLIS = 700;
+    private static final String AFTER = "after ";
+
+    @TempDir
+    Path folder;
+
+    private static NodeUnderTest startNode(Path folder) throws Exception {
+        return NodeUnderTest.amongEmulatedServers(Files.createDirectory(folder), SERVERS, SERVER_DELAY_MILLIS);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 6})
+    void othersAreAnsweredInTimeBesideClientsAtFullSpeed(int floodClients) throws Exception {
+        List<String> violations = new ArrayList<>();
+        try (var node = startNode(folder.resolve("flooded"));
+                var calmNode = startNode(folder.resolve("calm"));
+                var clients = new UsualClients(node.address(), USUAL_CLIENTS, "start");
+                var calmClients = new UsualClients(calmNode.address(), USUAL_CLIENTS, "start")) {
+            for (FloodKind kind : FloodKind.values()) {
+                clients.beginStretch(kind.name());
+                calmClients.beginStretch(kind.name());
+                try (var flood = new Flood(node.address(), kind, floodClients)) {
+                    Thread.sleep(FLOOD_MILLIS);
+                }
+                clients.beginStretch(AFTER + kind);
+                calmClients.beginStretch(AFTER + kind);
+                Thread.sleep(AFTERWARDS_MILLIS);
+            }
+            clients.close();
+            calmClients.close();
+            for (FloodKind kind : FloodKind.values()) {
+                compare(kind.name(), clients, calmClients, violations);
+                compare(AFTER + kind, clients, calmClients, violations);
+            }
+            node.stop();
+            System.out.println(
+                    node.log().lines().filter(line -> line.contains("ended: ")).toList());
+            assertEquals("", String.join("\n", violations), node::log);
+        }
+    }
+
+    private static void compare(
+            String stretch, UsualClients clients, UsualClients calmClients, List<String> violations) {
+        Summary flooded = clients.summary(stretch);
+        Summary calm = calmClients.summary(stretch);
+        System.out.println(stretch + ": flooded " + flooded + ", calm " + calm);
+        if (flooded.lost() > 0 || flooded.late() > calm.late()) {
+            violations.add(stretch + ": " + flooded + ", without a flood " + calm);
+        }
+    }
+}
--- a/cli/src/test/java/thistlefall/cli/fault/NodeUnderTest.java
+++ b/cli/src/test/java/thistlefall/cli/fault/NodeUnderTest.java
@@ -23,19 +23,42 @@
 
     private final Path folder;
     private final Path configFile;
-    private final PlatformEnvironment environment = new PlatformEnvironment(0);
+    private final PlatformEnvironment environment;
     private Process process;
 
     /** Starts a node that knows these servers; its configuration file is changed before it is read. */
     NodeUnderTest(Path folder, List<ScriptedServer> servers, UnaryOperator<String> configChange) throws Exception {
-        this.folder = folder;
-        configFile = folder.resolve("config.json");
+        this(folder, new PlatformEnvironment(0), configChange);
         environment
                 .discovery()
                 .sendFullList(servers.stream().map(ScriptedServer::entry).toList());
+        start();
+    }
+
+    private NodeUnderTest(Path folder, PlatformEnvironment environment, UnaryOperator<String> configChange)
+            throws IOException {
+        this.folder = folder;
+        this.environment = environment;
+        configFile = folder.resolve("config.json");
         environment.configure(configFile);
         Files.writeString(configFile, configChange.apply(Files.readString(configFile)));
-        start();
+    }
+
+    /** Starts a node that knows emulated servers, each of which takes the same time for every request. */
+    static NodeUnderTest amongEmulatedServers(Path folder, int servers, int delayMillis) throws IOException {
+        return amongEmulatedServers(folder, servers, delayMillis, config -> config);
+    }
+
+    /** As above; the node's configuration file is changed before it is read. */
+    static NodeUnderTest amongEmulatedServers(
+            Path folder, int servers, int delayMillis, UnaryOperator<String> configChange) throws IOException {
+        var environment = new PlatformEnvironment(servers);
+        for (int i = 0; i < servers; i++) {
+            environment.server(i).setResponseDelayMillis(delayMillis);
+        }
+        var node = new NodeUnderTest(folder, environment, configChange);
+        node.start();
+        return node;
     }
 
     /** Starts the process, or the next one at the same address, and waits until it is ready. */
