A connection at rest is not ended over a request that lies unread in its socket

Such a flood also kept the node from ending in time.

Cause: a connection that owed nothing was shut without asking its socket. What came between the loop's last poll and the close lay unread; the later the loop, the more.

Change: before a connection ends with no response that announces it (shutdown, rest, room for others) its socket is asked; a request in it is read and answered first. While the node still accepts, a connection at rest stays open, and its next response announces the close. When it drains, a client that sends on without waiting for its answers is answered 503 with the close, and nothing waits to learn whether it is there, because nothing begins.

--- a/cli/src/test/java/thistlefall/cli/fault/ShutdownUnderFloodTest.java
+++ b/cli/src/test/java/thistlefall/cli/fault/ShutdownUnderFloodTest.java
@@ -29,6 +29,9 @@
     /** The longest deadline of the configuration counts as 3 s; SIGKILL comes this much later. */
     private static final long KILL_AFTER_MILLIS = 3_700;
 
+    /** New connections come for this long after SIGTERM. */
+    private static final long CONNECTIONS_AFTER_TERM_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
     @TempDir
     Path folder;
 
@@ -37,6 +40,8 @@
 
     private final Collection<Sent> requests = new ConcurrentLinkedQueue<>();
     private volatile boolean stopped;
+    /** When SIGTERM was sent; before that, a time that is never reached. */
+    private volatile long terminatedAt = Long.MAX_VALUE;
 
     @ParameterizedTest
     @EnumSource(
@@ -50,7 +55,6 @@
                 threads.add(new Thread(() -> askUntilStopped(node.address(), client)));
                 threads.get(i).start();
             }
-            long terminatedAt;
             boolean endedInTime;
             try (var flood = new Flood(node.address(), kind, FLOOD_CLIENTS)) {
                 Thread.sleep(BEFORE_MILLIS);
@@ -58,6 +62,7 @@
                 node.signal("TERM");
                 endedInTime = node.process().waitFor(KILL_AFTER_MILLIS, TimeUnit.MILLISECONDS);
             }
+            long terminated = terminatedAt;
             stopped = true;
             for (Thread thread : threads) {
                 thread.join();
@@ -65,7 +70,7 @@
             assertTrue(endedInTime, node::log);
             List<Sent> unanswered = requests.stream()
                     .filter(request -> request.status() <= 0)
-                    .filter(request -> request.newConnection() || request.sentAt() < terminatedAt)
+                    .filter(request -> request.newConnection() || request.sentAt() < terminated)
                     .toList();
             System.out.println(kind + ": " + requests.size() + " requests, without an answer "
                     + requests.stream().filter(request -> request.status() <= 0).count());
@@ -74,7 +79,7 @@
     }
 
     private void askUntilStopped(InetSocketAddress node, int client) {
-        for (int connection = 0; !stopped; connection++) {
+        for (int connection = 0; !stopped && mayConnect(); connection++) {
             try (var faultClient = new FaultClient(node)) {
                 askOnConnection(faultClient, client + "-" + connection);
             } catch (IOException e) {
@@ -84,6 +89,10 @@
         }
     }
 
+    private boolean mayConnect() {
+        return terminatedAt == Long.MAX_VALUE || System.nanoTime() - terminatedAt < CONNECTIONS_AFTER_TERM_NANOS;
+    }
+
     /** Sends one request after another until the connection is to end. */
     private void askOnConnection(FaultClient connection, String name) {
         int status = 200;
--- a/core/src/main/java/thistlefall/lifecycle/ConnectionLifecycle.java
+++ b/core/src/main/java/thistlefall/lifecycle/ConnectionLifecycle.java
@@ -8,9 +8,10 @@
  *
  * <p>A request is owed a response from the moment at which its first byte was read, whatever ends the connection: a
  * shutdown of the node, the idle timeout, the limit of connections, or the last request of the client. Unless a
- * response has announced the close, the connection stays open until every owed response is complete. What is read after
- * the output was shut is never accepted; the client sends it again on a new connection. A client that ends its own
- * output counts as gone and is owed nothing.
+ * response has announced the close, the connection stays open until every owed response is complete. A request that
+ * lies unread in the socket is owed one too, so the socket is asked before a connection at rest ends. What is read
+ * after the output was shut is never accepted; the client sends it again on a new connection. A client that ends its
+ * own output counts as gone and is owed nothing.
  *
  * <p>Not thread-safe.
  */
@@ -59,6 +60,16 @@
         return closeAnnounced;
     }
 
+    /**
+     * Returns whether the connection is about to be ended while no response announces it. Its socket must be asked
+     * first whether a request lies unread in it: that request has been taken, and is owed a response.
+     *
+     * @param owedResponses as in {@link #shouldShutOutput}
+     */
+    public boolean endsAtRest(int owedResponses) {
+        return closeRequested && !closeAnnounced && !outputShut && owedResponses == 0;
+    }
+
     /**
      * Returns whether the output must be shut now; if so, it counts as shut from then on.
      *
--- a/core/src/main/java/thistlefall/turn/InputTurn.java
+++ b/core/src/main/java/thistlefall/turn/InputTurn.java
@@ -1,9 +1,9 @@
 package thistlefall.turn;
 
 /**
- * Bounds what is handled of one client's input at once. Directly after a read a single request is handled: a client that
- * sends one request at a time never waits. What a client has sent beyond that waits for a turn of its own, which is
- * bounded by time. Times are nanoseconds of one clock. Not thread-safe.
+ * Bounds what is handled of one client's input at once. Directly after a read a single request is handled: a client
+ * that sends one request at a time never waits. What a client has sent beyond that waits for a turn of its own, which
+ * is bounded by time. Times are nanoseconds of one clock. Not thread-safe.
  */
 public final class InputTurn {
     /** The longest turn, except that its last step is completed. */
--- a/core/src/main/java/thistlefall/turn/TurnQueue.java
+++ b/core/src/main/java/thistlefall/turn/TurnQueue.java
@@ -5,9 +5,9 @@
 import java.util.function.LongSupplier;
 
 /**
- * Those that wait for a turn, in the order in which they began to wait. Each waits at most once, so the queue is bounded
- * by their number. Only a bounded time is given to all of them together before everything else has its turn again. Times
- * are nanoseconds of one clock. Not thread-safe.
+ * Those that wait for a turn, in the order in which they began to wait. Each waits at most once, so the queue is
+ * bounded by their number. Only a bounded time is given to all of them together before everything else has its turn
+ * again. Times are nanoseconds of one clock. Not thread-safe.
  *
  * @param <T> what waits; compared by identity or equality
  */
--- a/core/src/test/java/thistlefall/lifecycle/ConnectionLifecycleTest.java
+++ b/core/src/test/java/thistlefall/lifecycle/ConnectionLifecycleTest.java
@@ -31,6 +31,17 @@
         assertTrue(lifecycle.shouldShutOutput(0));
     }
 
+    /** Only a connection that ends without an announcement has to be asked for unread requests. */
+    @Test
+    void endAtRestIsToldFromAnAnnouncedOne() {
+        assertFalse(lifecycle.endsAtRest(0), "no close was requested");
+        lifecycle.beginClose();
+        assertFalse(lifecycle.endsAtRest(1));
+        assertTrue(lifecycle.endsAtRest(0));
+        assertTrue(lifecycle.announcesClose(false, 0));
+        assertFalse(lifecycle.endsAtRest(0));
+    }
+
     @Test
     void clientsLastRequestEndsTheConnection() {
         lifecycle.noMoreRequests();
--- a/edge/src/main/java/thistlefall/edge/loop/LoopUsage.java
+++ b/edge/src/main/java/thistlefall/edge/loop/LoopUsage.java
@@ -5,9 +5,9 @@
 import java.util.Map;
 
 /**
- * What an event loop spends its time on. One pass of the loop polls the sockets, handles those that are ready, then runs
- * due timers and other tasks, then handles a part of the input that waits. Written on the event loop only; other threads may read slightly stale values. Durations
- * are in nanoseconds.
+ * What an event loop spends its time on. One pass of the loop polls the sockets, handles those that are ready, then
+ * runs due timers and other tasks, then handles a part of the input that waits. Written on the event loop only; other
+ * threads may read slightly stale values. Durations are in nanoseconds.
  */
 public final class LoopUsage {
     /** A kind of work. */
--- a/edge/src/main/java/thistlefall/edge/loop/MeasuredIoHandler.java
+++ b/edge/src/main/java/thistlefall/edge/loop/MeasuredIoHandler.java
@@ -7,8 +7,8 @@
 import thistlefall.edge.loop.LoopUsage.Work;
 
 /**
- * Measures the passes of an event loop around another I/O handler, and does a part of some {@link PassWork} in each pass.
- * Used on the event loop, except {@link #wakeup}.
+ * Measures the passes of an event loop around another I/O handler, and does a part of some {@link PassWork} in each
+ * pass. Used on the event loop, except {@link #wakeup}.
  */
 final class MeasuredIoHandler implements IoHandler {
     private final IoHandler delegate;
--- a/edge/src/main/java/thistlefall/edge/loop/NodeEventLoop.java
+++ b/edge/src/main/java/thistlefall/edge/loop/NodeEventLoop.java
@@ -13,8 +13,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The single event loop of a node, with a daemon thread of its own. After a bounded time with tasks it polls its sockets
- * again. Thread-safe.
+ * The single event loop of a node, with a daemon thread of its own. After a bounded time with tasks it polls its
+ * sockets again. Thread-safe.
  */
 public final class NodeEventLoop {
     /** How long tasks may run before the sockets are polled again. Netty allows them a second by default. */
--- a/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
@@ -64,8 +64,8 @@
     private boolean anyRequestCompleted;
     /** Whether it owes no response; the manager and the idle timer know. */
     private boolean idle;
-    /** Whether the connection is to end after its next response and has had no request yet. */
-    private boolean awaitsFirstRequest;
+    /** Whether the connection is to end after its next response and stays open at rest until then. */
+    private boolean awaitsNextRequest;
 
     private long undecodedBytes;
     private TimingWheel.ScheduledTimeout<Runnable> receiveTimer;
@@ -87,7 +87,7 @@
         this.limits = limits;
         this.dialect = dialect;
         this.decoder = decoder;
-        input = new ClientInput(waitingInput, decoder, timer, metrics, this::updateAutoRead);
+        input = new ClientInput(waitingInput, decoder, timer, metrics, this::inputWaitingChanged);
         responseEncoder = new ResponseEncoder(dialect);
         pendingRequests = new RequestPipeline(limits.maxPipelined(), limits.replayBody());
         memory = connectionManager.clientMemory().openAccount();
@@ -256,7 +256,7 @@
             cancelReceiveTimer();
         }
         // What was read may have been nothing but an empty line, so that nothing is owed after all.
-        if (awaitsFirstRequest || !shutOutputIfFinished()) {
+        if (awaitsNextRequest || !shutOutputIfFinished()) {
             updateIdle();
         }
         continueAfterRead();
@@ -368,7 +368,8 @@
             sendProblem(requestContext, immediateResponse);
             return true;
         }
-        if (presence() != ClientPresence.State.PRESENT) {
+        // While the node drains, the request is refused and nothing begins.
+        if (!connectionManager.isDraining() && presence() != ClientPresence.State.PRESENT) {
             return false;
         }
         connectionManager.resolveRequest(requestContext);
@@ -402,8 +403,8 @@
     }
 
     /**
-     * Resumes or pauses reading from the client; while it is paused, a disconnect of the client goes unnoticed. If surplus
-     * requests are refused, reading pauses only while input that has been read waits for its turn.
+     * Resumes or pauses reading from the client; while it is paused, a disconnect of the client goes unnoticed. If
+     * surplus requests are refused, reading pauses only while input that has been read waits for its turn.
      */
     void updateAutoRead() {
         boolean canTakeMore = refusesSurplus() || lifecycle.outputShut() || canTakeMoreInput();
@@ -414,6 +415,13 @@
         }
     }
 
+    private void inputWaitingChanged() {
+        updateAutoRead();
+        if (connectionManager.isDraining()) {
+            refuseWaitingInput();
+        }
+    }
+
     private boolean canTakeMoreInput() {
         boolean betweenRequests = receivingRequest == null;
         if (betweenRequests && !pendingRequests.isEmpty() && memory.exceedsThreshold()) {
@@ -580,8 +588,16 @@
         updateAutoRead();
     }
 
+    /** Whether a request lies in the socket that the event loop has not come to read. */
+    boolean hasUnreadInput() {
+        return ClientSocketChannel.unreadInput(channel) == ClientSocketChannel.UnreadInput.BYTES;
+    }
+
     /** Shuts the output if the connection is closing and no response is owed; returns whether it did. */
     private boolean shutOutputIfFinished() {
+        if (lifecycle.endsAtRest(owedResponses()) && hasUnreadInput()) {
+            return false;
+        }
         boolean shouldShut = lifecycle.shouldShutOutput(owedResponses());
         if (shouldShut) {
             shutOutput();
@@ -671,22 +687,32 @@
         pendingRequests.removeAll().forEach(connectionManager::clientGone);
     }
 
-    /** Closes the connection after its next response; one that has had a request and is idle now closes at once. */
+    /** Closes the connection after its next response; until then it stays open, also while it is idle. */
     void closeAfterNextResponse() {
         lifecycle.beginClose();
-        awaitsFirstRequest = !anyRequestCompleted;
-        if (anyRequestCompleted) {
-            shutOutputIfFinished();
-        }
+        awaitsNextRequest = true;
     }
 
     /** Closes the connection after all responses that it owes. */
     void closeAfterPendingResponses() {
         lifecycle.beginClose();
-        awaitsFirstRequest = false;
+        awaitsNextRequest = false;
         shutOutputIfFinished();
     }
 
+    /** Answers what has been received, and closes the connection; a client that sends on cannot keep it open. */
+    void drain() {
+        closeAfterPendingResponses();
+        dispatchPending();
+        refuseWaitingInput();
+    }
+
+    private void refuseWaitingInput() {
+        if (input.isWaiting()) {
+            refuseIncompleteRequest();
+        }
+    }
+
     /** Refuses what is only partly received, and closes the connection after the responses to earlier requests. */
     void refuseIncompleteRequest() {
         closeAfterPendingResponses();
--- a/edge/src/main/java/thistlefall/edge/node/ClientConnectionManager.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientConnectionManager.java
@@ -151,6 +151,11 @@
         return shutdownAnnounced || draining;
     }
 
+    /** Whether new requests are refused because the node stops. */
+    boolean isDraining() {
+        return draining;
+    }
+
     /** Tracks a connection whose output is shut; limits their number, since a client may go on sending. */
     void startLingering(ClientConnection connection) {
         openConnections.remove(connection);
@@ -177,7 +182,9 @@
         connectionsWithUnsentBytes.remove(connection);
     }
 
-    /** Returns the response to a request that needs no server, see {@link RequestResolver#immediateResponse}, or null. */
+    /**
+     * Returns the response to a request that needs no server, see {@link RequestResolver#immediateResponse}, or null.
+     */
     ProblemDetails immediateResponse(RequestContext requestContext) {
         ProblemDetails response = resolver.immediateResponse(requestContext);
         if (response != null) {
@@ -267,7 +274,7 @@
     /** Refuses new requests and connections from now on and closes connections after the responses that they owe. */
     void drain() {
         draining = true;
-        List.copyOf(openConnections).forEach(ClientConnection::closeAfterPendingResponses);
+        List.copyOf(openConnections).forEach(ClientConnection::drain);
     }
 
     /** Refuses the requests that are still incomplete at the end of the drain. */
--- a/edge/src/main/java/thistlefall/edge/node/ClientInput.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientInput.java
@@ -9,9 +9,9 @@
 import thistlefall.turn.InputTurn;
 
 /**
- * Has the input of one client decoded in turns, so that a client that sends much does not delay the others. Input beyond
- * the turn waits in {@link WaitingInput}; nothing more is read from the client meanwhile. Stands before the decoder in
- * the pipeline. Confined to the node's event loop; times are monotonic nanoseconds.
+ * Has the input of one client decoded in turns, so that a client that sends much does not delay the others. Input
+ * beyond the turn waits in {@link WaitingInput}; nothing more is read from the client meanwhile. Stands before the
+ * decoder in the pipeline. Confined to the node's event loop; times are monotonic nanoseconds.
  */
 final class ClientInput extends ChannelInboundHandlerAdapter implements DecodeTurn {
     /** What is read at once from a client that sends more than one request at a time. */
--- a/edge/src/main/java/thistlefall/edge/node/ClientSocketChannel.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientSocketChannel.java
@@ -53,8 +53,8 @@
     }
 
     /**
-     * Sets what is called when a byte has been read ahead. The listener has {@link #readByteReadAhead} called in a later
-     * pass of the event loop, because the socket may hold no other byte that would have it polled.
+     * Sets what is called when a byte has been read ahead. The listener has {@link #readByteReadAhead} called in a
+     * later pass of the event loop, because the socket may hold no other byte that would have it polled.
      */
     void setByteReadAheadListener(Runnable listener) {
         byteReadAheadListener = listener;
--- a/edge/src/main/java/thistlefall/edge/node/RequestPipeline.java
+++ b/edge/src/main/java/thistlefall/edge/node/RequestPipeline.java
@@ -67,8 +67,8 @@
     }
 
     /**
-     * Counts again what may have changed: the first request, which may have an attempt, and the last one, whose body may
-     * be coming.
+     * Counts again what may have changed: the first request, which may have an attempt, and the last one, whose body
+     * may be coming.
      */
     private void recountChanged() {
         if (!requests.isEmpty()) {
--- a/edge/src/main/java/thistlefall/edge/node/RequestResolver.java
+++ b/edge/src/main/java/thistlefall/edge/node/RequestResolver.java
@@ -6,8 +6,8 @@
  */
 interface RequestResolver {
     /**
-     * Returns the response to a request for which no server is needed and nothing begins, such as a readiness check or an
-     * unsound request; null if the request is to be resolved.
+     * Returns the response to a request for which no server is needed and nothing begins, such as a readiness check or
+     * an unsound request; null if the request is to be resolved.
      */
     ProblemDetails immediateResponse(RequestContext requestContext);
 
