A connection that is accepted at the limit is answered, and what can't be held waits

What callers saw: at the limit of connections 60 of 60 new ones were accepted and closed with no answer to the request that they carried.

Cause: at the limit a new connection was closed over its unread bytes, and so was the one that had lingered longest. Their clients had sent a request to a connection that the machine had accepted.

Change: ConnectionLimits in core/lifecycle decides. Beyond the maximum a connection is accepted into a reserve and its request is refused, 503 with the close; beyond the reserve accepting pauses and the backlog waits. A connection at rest is ended to make room only if nothing lies unread in its socket; one that lingers only at the limit, and likewise. When the node stops listening it first accepts what the system has completed. Counts: connections_turned_away are now those whose request is refused; accept_pauses.

--- /dev/null
+++ b/core/src/main/java/thistlefall/lifecycle/ConnectionLimits.java
@@ -0,0 +1,40 @@
+package thistlefall.lifecycle;
+
+/**
+ * Decides how many client connections a node holds. Those up to the maximum are served. A connection beyond that has
+ * been accepted by the system, and its client may have sent a request, so it is owed an answer: it is accepted too, and
+ * its request is refused. A reserve is kept for such connections and for those that are closing. Beyond the reserve
+ * connections are better not accepted: they wait in the backlog until another one has closed. Immutable.
+ *
+ * @param maxServed the number of connections that are served
+ * @param reserve the number of connections beyond those
+ */
+public record ConnectionLimits(int maxServed, int reserve) {
+    private static final int MIN_RESERVE = 4;
+    private static final int RESERVE_DIVISOR = 12;
+
+    /** Returns the limits with the usual reserve. */
+    public static ConnectionLimits of(int maxServed) {
+        return new ConnectionLimits(maxServed, Math.max(MIN_RESERVE, maxServed / RESERVE_DIVISOR));
+    }
+
+    /** Returns whether a connection at rest should end before another one is served. */
+    public boolean needsRoom(int open) {
+        return open >= maxServed;
+    }
+
+    /** Returns whether another connection is served; otherwise its request is refused. */
+    public boolean mayServe(int open) {
+        return open < maxServed;
+    }
+
+    /**
+     * Returns how many connections may be accepted now.
+     *
+     * @param open the connections that may still carry requests, refused ones included
+     * @param closing the connections that only wait for their clients to close
+     */
+    public int acceptCapacity(int open, int closing) {
+        return Math.max(0, maxServed + reserve - open - closing);
+    }
+}
--- a/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
@@ -67,6 +67,9 @@
     /** Whether the connection is to end after its next response and stays open at rest until then. */
     private boolean awaitsNextRequest;
 
+    /** Whether the connection is one too many, so that its request is refused and it ends after that. */
+    private boolean refusesRequests;
+
     private long undecodedBytes;
     private TimingWheel.ScheduledTimeout<Runnable> receiveTimer;
     private TimingWheel.ScheduledTimeout<Runnable> idleTimer;
@@ -368,6 +371,10 @@
             sendProblem(requestContext, immediateResponse);
             return true;
         }
+        if (refusesRequests) {
+            connectionManager.refuseBeyondLimit(requestContext);
+            return true;
+        }
         // While the node drains, the request is refused and nothing begins.
         if (!connectionManager.isDraining() && presence() != ClientPresence.State.PRESENT) {
             return false;
@@ -693,6 +700,12 @@
         awaitsNextRequest = true;
     }
 
+    /** Refuses the next request and closes the connection after it. */
+    void refuseRequests() {
+        refusesRequests = true;
+        closeAfterNextResponse();
+    }
+
     /** Closes the connection after all responses that it owes. */
     void closeAfterPendingResponses() {
         lifecycle.beginClose();
--- a/edge/src/main/java/thistlefall/edge/node/ClientConnectionManager.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientConnectionManager.java
@@ -8,6 +8,7 @@
 import java.util.stream.Stream;
 import thistlefall.Ports.RequestClass;
 import thistlefall.clock.MonotonicWallClock;
+import thistlefall.lifecycle.ConnectionLimits;
 import thistlefall.memory.MemoryBudget;
 import thistlefall.request.FailureCause;
 
@@ -22,10 +23,7 @@
      */
     static final long DEADLINE_MARGIN_NANOS = 30_000_000L;
 
-    private static final int MIN_LINGERING_CONNECTIONS = 4;
-    private static final int LINGERING_DIVISOR = 12;
-
-    private final int maxConnections;
+    private final ConnectionLimits limits;
     private final MemoryBudget clientMemory;
     private final NodeClock clock;
     private final NodeMetrics metrics;
@@ -35,7 +33,7 @@
     private final Set<ClientConnection> idleConnections = new LinkedHashSet<>();
     /**
      * Connections whose output is shut and from which clients may still send; the oldest first. They are not included
-     * in the open connections and do not count towards their limit.
+     * in the open connections.
      */
     private final Set<ClientConnection> lingeringConnections = new LinkedHashSet<>();
 
@@ -44,6 +42,8 @@
 
     private RequestResolver resolver;
     private ActionExecutor executor;
+    private Runnable acceptCapacityListener = () -> {};
+    private long openedCount;
     private long lastOpenedAt = System.nanoTime();
     private boolean shutdownAnnounced;
     private boolean draining;
@@ -54,7 +54,7 @@
             NodeClock clock,
             NodeMetrics metrics,
             ActiveRequests activeRequests) {
-        this.maxConnections = maxConnections;
+        limits = ConnectionLimits.of(maxConnections);
         this.clientMemory = clientMemory;
         this.clock = clock;
         this.metrics = metrics;
@@ -67,22 +67,59 @@
         executor = actionExecutor;
     }
 
-    boolean tryRegister(ClientConnection connection) {
+    /** Sets what is called whenever {@link #acceptCapacity} may have changed. */
+    void setAcceptCapacityListener(Runnable listener) {
+        acceptCapacityListener = listener;
+    }
+
+    /** Returns how many connections may be accepted now. */
+    int acceptCapacity() {
+        return limits.acceptCapacity(openConnections.size(), lingeringConnections.size());
+    }
+
+    /** Returns the number of connections opened since the start. */
+    long openedCount() {
+        return openedCount;
+    }
+
+    /** Registers a new connection; beyond the limit, or while the node drains, its request is refused. */
+    void register(ClientConnection connection) {
         lastOpenedAt = System.nanoTime();
-        if (openConnections.size() >= maxConnections && !idleConnections.isEmpty()) {
-            // Close the connection that has been idle longest to make room for the new one.
-            metrics.idleConnectionsClosed++;
-            idleConnections.iterator().next().closeAfterPendingResponses();
-        }
-        if (draining || openConnections.size() >= maxConnections) {
-            metrics.connectionsRejected++;
-            return false;
+        openedCount++;
+        if (limits.needsRoom(openConnections.size())) {
+            endConnectionAtRest();
         }
+        boolean served = !draining && limits.mayServe(openConnections.size());
         openConnections.add(connection);
-        if (shutdownAnnounced) {
+        if (!served) {
+            metrics.connectionsRejected++;
+            connection.refuseRequests();
+        } else if (shutdownAnnounced) {
             connection.closeAfterNextResponse();
         }
-        return true;
+        connectionsChanged();
+    }
+
+    /** Ends the connection that has been at rest for longest and has no request in its socket. */
+    private void endConnectionAtRest() {
+        for (ClientConnection connection : idleConnections) {
+            if (!connection.hasUnreadInput()) {
+                metrics.idleConnectionsClosed++;
+                connection.closeAfterPendingResponses();
+                return;
+            }
+        }
+    }
+
+    /** At the limit, closes the connection that has lingered longest and from which nothing lies unread. */
+    private void connectionsChanged() {
+        if (acceptCapacity() == 0) {
+            lingeringConnections.stream()
+                    .filter(connection -> !connection.hasUnreadInput())
+                    .findFirst()
+                    .ifPresent(ClientConnection::close);
+        }
+        acceptCapacityListener.run();
     }
 
     /** Returns the budget for everything that clients make the node hold. */
@@ -156,15 +193,12 @@
         return draining;
     }
 
-    /** Tracks a connection whose output is shut; limits their number, since a client may go on sending. */
+    /** Tracks a connection whose output is shut and whose client may go on sending for a while. */
     void startLingering(ClientConnection connection) {
         openConnections.remove(connection);
         idleConnections.remove(connection);
         lingeringConnections.add(connection);
-        if (lingeringConnections.size() > Math.max(MIN_LINGERING_CONNECTIONS, maxConnections / LINGERING_DIVISOR)
-                && !draining) {
-            lingeringConnections.iterator().next().close();
-        }
+        connectionsChanged();
     }
 
     /** Marks a connection as idle (without a request) or as in use. */
@@ -180,6 +214,7 @@
         idleConnections.remove(connection);
         lingeringConnections.remove(connection);
         connectionsWithUnsentBytes.remove(connection);
+        connectionsChanged();
     }
 
     /**
@@ -200,6 +235,14 @@
         resolver.resolve(requestContext);
     }
 
+    /** Refuses the request of a connection beyond the limit; the connection closes after it. */
+    void refuseBeyondLimit(RequestContext requestContext) {
+        FailureCause cause = draining ? FailureCause.STOPPING : FailureCause.FULL;
+        metrics.requests++;
+        metrics.countRefused(cause);
+        requestContext.clientConnection.sendProblem(requestContext, ProblemDetails.refused(cause, 0));
+    }
+
     /** Counts a request that is refused without being resolved. */
     void countSurplusRequest(FailureCause cause) {
         metrics.requests++;
--- a/edge/src/main/java/thistlefall/edge/node/ClientSocketChannel.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientSocketChannel.java
@@ -9,6 +9,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.util.List;
+import java.util.function.IntSupplier;
 
 /**
  * The TCP connection of a client, which can be asked whether its socket holds unread input or the end of it. The event
@@ -26,10 +27,24 @@
         END
     }
 
-    /** Accepts connections of clients. */
+    /** Accepts connections of clients, as many as the node may hold. */
     static final class Listener extends NioServerSocketChannel {
+        private final IntSupplier capacity;
+
+        Listener(IntSupplier capacity) {
+            this.capacity = capacity;
+        }
+
+        /** Accepts connections without waiting for the next poll. */
+        void acceptNow() {
+            unsafe().read();
+        }
+
         @Override
         protected int doReadMessages(List<Object> accepted) throws Exception {
+            if (accepted.size() >= capacity.getAsInt()) {
+                return 0;
+            }
             SocketChannel socket = javaChannel().accept();
             if (socket == null) {
                 return 0;
--- a/edge/src/main/java/thistlefall/edge/node/EdgeNode.java
+++ b/edge/src/main/java/thistlefall/edge/node/EdgeNode.java
@@ -3,8 +3,6 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -56,17 +54,10 @@
         }
     }
 
-    /** Ignores the errors of a rejected connection. */
-    private static final class RejectedConnectionHandler extends ChannelInboundHandlerAdapter {
-        @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            context.close();
-        }
-    }
-
     private final NodeEventLoop nodeEventLoop;
     private final EventLoop eventLoop;
     private final NodeRuntime runtime;
+    private final ConnectionAcceptor acceptor;
     private final Channel serverChannel;
     private final Duration lingerTimeout;
     private volatile boolean stopped;
@@ -81,6 +72,7 @@
                     .submit(() -> createRuntime(definition, options, log))
                     .syncUninterruptibly()
                     .getNow();
+            acceptor = new ConnectionAcceptor(log, runtime.metrics(), runtime.connectionManager());
             serverChannel = bind(definition);
         } catch (RuntimeException e) {
             nodeEventLoop.shutdown(100);
@@ -103,7 +95,7 @@
         Logger log = LoggerFactory.getLogger("thistlefall.node");
         var bootstrap = new ServerBootstrap()
                 .group(nodeEventLoop.group())
-                .handler(new AcceptFailureHandler(log, runtime.metrics()))
+                .handler(acceptor)
                 .childOption(ChannelOption.ALLOCATOR, NodeAllocator.INSTANCE)
                 .childOption(
                         ChannelOption.RCVBUF_ALLOCATOR,
@@ -123,17 +115,13 @@
                                 limits,
                                 definition.dialect(),
                                 decoder);
-                        if (runtime.connectionManager().tryRegister(connection)) {
-                            channel.pipeline().addLast(connection.input(), decoder, connection);
-                        } else {
-                            channel.pipeline().addLast(new RejectedConnectionHandler());
-                            channel.close();
-                        }
+                        channel.pipeline().addLast(connection.input(), decoder, connection);
+                        runtime.connectionManager().register(connection);
                     }
                 });
         if (definition.listen() instanceof InetSocketAddress) {
             bootstrap
-                    .channelFactory(ClientSocketChannel.Listener::new)
+                    .channelFactory(() -> new ClientSocketChannel.Listener(runtime.connectionManager()::acceptCapacity))
                     .option(ChannelOption.SO_BACKLOG, 1024)
                     .option(ChannelOption.SO_REUSEADDR, true)
                     .childOption(ChannelOption.TCP_NODELAY, true);
@@ -238,7 +226,7 @@
         GracefulShutdown.Phase phase = shutdown.advance(
                 System.nanoTime(),
                 connectionManager.lastOpenedAt(),
-                connectionManager.busyConnections(),
+                connectionManager.busyConnections() + (acceptor.isListening() ? 1 : 0),
                 connectionManager.connections());
         try {
             if (phase != previousPhase) {
@@ -260,10 +248,13 @@
         switch (phase) {
             case ACCEPTING -> {}
             case DRAIN -> {
-                serverChannel.close();
                 runtime.connectionManager().drain();
+                acceptor.closeWhenDrained();
+            }
+            case LINGER -> {
+                serverChannel.close();
+                runtime.respondToOpenRequests();
             }
-            case LINGER -> runtime.respondToOpenRequests();
             case TERMINATED -> runtime.kill();
         }
     }
--- a/edge/src/main/java/thistlefall/edge/node/NodeMetrics.java
+++ b/edge/src/main/java/thistlefall/edge/node/NodeMetrics.java
@@ -33,6 +33,7 @@
     long expiredByTracker;
     long connectionsRejected;
     long acceptFailures;
+    long acceptPauses;
     long serverListUpdates;
     long serverListFailures;
     long malformedRequests;
@@ -87,6 +88,7 @@
         map.put("ended_by_ledger", expiredByTracker);
         map.put("connections_turned_away", connectionsRejected);
         map.put("accept_failures", acceptFailures);
+        map.put("accept_pauses", acceptPauses);
         map.put("list_updates", serverListUpdates);
         map.put("list_failures", serverListFailures);
         map.put("unreadable", malformedRequests);
