Tests: a node's process handles signals that the test run itself ignores

Seen: PlatformProcessTest line 85, 'condition not met within 40 s': payments were answered after SIGHUP, but there was no watch at the new discovery.

Cause, traced: with SIGHUP ignored where the suite is started (nohup, trap '' HUP) the node's process inherits that, and a JVM keeps an ignored signal ignored; the node logs 'SIGHUP was ignored when the process started'. With SIGHUP ignored the test fails each time with that line and message, without it passes.

The expectations are as before.

--- a/cli/src/test/java/thistlefall/cli/NodeProcess.java
+++ b/cli/src/test/java/thistlefall/cli/NodeProcess.java
@@ -19,7 +19,8 @@
 
     /** Starts the process; {@code config} is the value of {@code EDGE_CONFIG}, null for none. */
     public static Process start(Path folder, String config, List<String> jvmOptions) throws IOException {
-        List<String> command = new ArrayList<>();
+        // A signal that this process was started to ignore, as under nohup, would be ignored by the node as well.
+        List<String> command = new ArrayList<>(List.of("env", "--default-signal=HUP,INT,TERM"));
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(jvmOptions);
         command.addAll(List.of("-cp", JarClassPath.get(), Launcher.class.getName(), "platform"));
