Counts and log lines say why connections end, and which passes of the loop were long

Change: each connection is counted by what ended it (connections_announced, _at_rest, _client_closed ...); one that ends over requests is logged with its cause, the number of responses owed and the client's id; the phases of a shutdown are logged with the connections that are open and busy; a pass of the event loop of 100 ms or more is logged with the time by kind of work, at most one a second. The soak plays floods, restarts under one and nodes that may hold few connections, and no connection may end over a request unless the node was told to end or has to make room.

--- a/cli/src/test/java/thistlefall/cli/fault/Soak.java
+++ b/cli/src/test/java/thistlefall/cli/fault/Soak.java
@@ -12,8 +12,9 @@
 import java.util.stream.Collectors;
 
 /**
- * Plays a node among clients that leave and servers that accept and read late, reset and fail, while its process is
- * held up and restarted. All of it is drawn from a seed; what comes of it depends on the machine as well.
+ * Plays a node among clients that leave or send at full speed and servers that accept and read late, reset and fail,
+ * while its process is held up and restarted, also under a flood; some nodes may hold few connections. All of it is
+ * drawn from a seed; what comes of it depends on the machine as well.
  */
 final class Soak {
     /** What a run has shown. */
@@ -30,6 +31,11 @@
     private static final int CLIENTS = 12;
     private static final int CROWD = 80;
     private static final int TROUBLES = 10;
+    /** The fewest descriptors that a configuration may allow, and up to how many more some runs have. */
+    private static final int MIN_DESCRIPTORS = 64;
+
+    private static final int MORE_DESCRIPTORS = 136;
+    private static final int MAX_FLOOD_CLIENTS = 3;
 
     private final long seed;
     private final Random random;
@@ -40,6 +46,10 @@
     private volatile int processNumber = 1;
 
     private volatile boolean accepting = true;
+    /** Whether connections at rest may be ended because there are too many. */
+    private boolean mayMakeRoom;
+
+    private final SoakRules.Terminations terminations = new SoakRules.Terminations();
     private SoakRules.KilledProcess killedProcess = new SoakRules.KilledProcess(0, 0);
 
     private Soak(long seed) {
@@ -51,8 +61,9 @@
         return new Soak(seed).play(folder);
     }
 
-    private static String configure(String config, int connectTimeoutMillis) {
-        return config.replace(
+    private static String configure(String config, int connectTimeoutMillis, int descriptors) {
+        return config.replace("\"sockets\": 256", "\"sockets\": " + descriptors)
+                .replace(
                         "\"connect-timeout-ns\": 250000000",
                         "\"connect-timeout-ns\": " + connectTimeoutMillis + "000000")
                 .replace("\"aim-ns\": 500000000", "\"aim-ns\": 1000000000")
@@ -67,7 +78,9 @@
             servers.add(new ScriptedServer("s-" + i, i % 2, Soak::handle));
         }
         int connectTimeoutMillis = random.nextBoolean() ? 1_500 : 250;
-        try (var node = new NodeUnderTest(folder, servers, config -> configure(config, connectTimeoutMillis))) {
+        int descriptors = random.nextInt(3) == 0 ? MIN_DESCRIPTORS + random.nextInt(MORE_DESCRIPTORS) : 256;
+        try (var node =
+                new NodeUnderTest(folder, servers, config -> configure(config, connectTimeoutMillis, descriptors))) {
             List<Thread> threads = new ArrayList<>();
             for (int i = 0; i < CLIENTS; i++) {
                 var client = new SoakClient(this, node.address(), "c" + seed + "-" + i, random.nextLong());
@@ -80,11 +93,14 @@
             for (int i = 0; i < crowdSize; i++) {
                 crowd.add(new FaultClient(node.address()));
             }
+            mayMakeRoom = crowdSize > 0 || descriptors < 256;
             int restart = random.nextInt(2 * TROUBLES);
             for (int i = 0; i < TROUBLES; i++) {
                 pause(100 + random.nextInt(600));
                 if (i == restart) {
-                    restart(node);
+                    try (var flood = random.nextBoolean() ? newFlood(node) : null) {
+                        restart(node);
+                    }
                 } else {
                     disturb(node);
                 }
@@ -96,9 +112,10 @@
             for (FaultClient client : crowd) {
                 client.close();
             }
+            terminations.add(processNumber, System.nanoTime());
             node.stop();
             var rules = new SoakRules(KEY_WINDOW_NANOS, requests, servers);
-            List<String> violations = rules.violations(killedProcess);
+            List<String> violations = rules.violations(killedProcess, terminations, mayMakeRoom);
             return new Result(seed, violations, summary(rules), node.log());
         } finally {
             for (ScriptedServer server : servers) {
@@ -134,8 +151,18 @@
         return percent < 11 ? ScriptedServer.NO_RESPONSE : 200;
     }
 
+    private Flood newFlood(NodeUnderTest node) {
+        FloodKind kind = FloodKind.values()[random.nextInt(FloodKind.values().length)];
+        return new Flood(node.address(), kind, 1 + random.nextInt(MAX_FLOOD_CLIENTS));
+    }
+
     private void disturb(NodeUnderTest node) throws Exception {
-        switch (random.nextInt(6)) {
+        switch (random.nextInt(8)) {
+            case 4, 5 -> {
+                try (var flood = newFlood(node)) {
+                    pause(200 + random.nextInt(1_000));
+                }
+            }
             case 0 -> {
                 List<ScriptedServer> cell = serversOfCell(random.nextInt(2));
                 cell.forEach(server -> server.setAccepting(false));
@@ -181,8 +208,9 @@
     /** Ends the process with signals in series, and starts the next one at the same address. */
     private void restart(NodeUnderTest node) throws Exception {
         node.signal("HUP");
-        node.signal("TERM");
         long terminatedAt = System.nanoTime();
+        terminations.add(processNumber, terminatedAt);
+        node.signal("TERM");
         pause(CONNECTIONS_AFTER_TERM_MILLIS);
         accepting = false;
         node.signal("TERM");
--- a/cli/src/test/java/thistlefall/cli/fault/SoakRules.java
+++ b/cli/src/test/java/thistlefall/cli/fault/SoakRules.java
@@ -59,8 +59,27 @@
         }
     }
 
-    /** Returns what breaks a rule, a line each. */
-    List<String> violations(KilledProcess killedProcess) {
+    /** When SIGTERM was sent to each process, by its number. */
+    static final class Terminations {
+        private final Map<Integer, Long> times = new HashMap<>();
+
+        void add(int process, long terminatedAt) {
+            times.putIfAbsent(process, terminatedAt);
+        }
+
+        /** Whether the request was sent to a process that had been told to end. */
+        boolean precede(SoakRequest request) {
+            Long terminatedAt = times.get(request.process);
+            return terminatedAt != null && request.sentAt - terminatedAt >= 0;
+        }
+    }
+
+    /**
+     * Returns what breaks a rule, a line each.
+     *
+     * @param mayMakeRoom whether a connection at rest may be ended to make room for others
+     */
+    List<String> violations(KilledProcess killedProcess, Terminations terminations, boolean mayMakeRoom) {
         Map<String, List<SoakRequest>> requestsByKey = new HashMap<>();
         requests.forEach(request -> requestsByKey
                 .computeIfAbsent(request.key(), key -> new ArrayList<>())
@@ -79,7 +98,9 @@
             checkDepartures(sent, reads);
             reads.forEach(read -> checkDrain(sent.get(0), read));
         });
-        requests.stream().filter(request -> !killedProcess.mayHaveLeft(request)).forEach(this::checkAnswer);
+        requests.stream()
+                .filter(request -> !killedProcess.mayHaveLeft(request))
+                .forEach(request -> checkAnswer(request, mayMakeRoom || terminations.precede(request)));
         return violations;
     }
 
@@ -121,12 +142,15 @@
         }
     }
 
-    private void checkAnswer(SoakRequest request) {
+    /** A request may cross the close of its connection only where the node has a reason to end one at rest. */
+    private void checkAnswer(SoakRequest request, boolean mayCross) {
         boolean wasForwarded = readsByKey.containsKey(request.key());
         if (request.end == End.NO_ANSWER || request.end == End.DROPPED) {
             report("lost: " + request.end, request, 0);
         } else if (request.end == End.CROSSED && wasForwarded) {
             report("lost: forwarded, then its connection ended without an answer", request, 0);
+        } else if (request.end == End.CROSSED && !mayCross) {
+            report("lost: its connection ended without an answer and without a reason", request, 0);
         }
     }
 
--- a/edge/src/main/java/thistlefall/edge/loop/LoopUsage.java
+++ b/edge/src/main/java/thistlefall/edge/loop/LoopUsage.java
@@ -1,6 +1,6 @@
 package thistlefall.edge.loop;
 
-import java.util.EnumMap;
+import java.util.Arrays;
 import java.util.Locale;
 import java.util.Map;
 
@@ -22,35 +22,46 @@
 
     private static final long NANOS_PER_MICRO = 1_000L;
 
-    private final Map<Work, Long> totals = new EnumMap<>(Work.class);
+    private final long[] totals = new long[Work.values().length];
+    private final long[] currentPass = new long[Work.values().length];
+    private final LongPassLog longPassLog;
     private long passes;
-    private long currentPass;
     private long longestPass;
 
-    LoopUsage() {
-        for (Work work : Work.values()) {
-            totals.put(work, 0L);
-        }
+    LoopUsage(LongPassLog longPassLog) {
+        this.longPassLog = longPassLog;
     }
 
     /** Adds time of the current pass. */
     void add(Work work, long duration) {
-        totals.merge(work, duration, Long::sum);
-        currentPass += duration;
+        totals[work.ordinal()] += duration;
+        currentPass[work.ordinal()] += duration;
+    }
+
+    /** Returns the time that the current pass has spent on a kind of work. */
+    long inCurrentPass(Work work) {
+        return currentPass[work.ordinal()];
     }
 
     /** Ends the current pass; the next one begins. */
     void endPass() {
         passes++;
-        longestPass = Math.max(longestPass, currentPass);
-        currentPass = 0;
+        long duration = 0;
+        for (long workDuration : currentPass) {
+            duration += workDuration;
+        }
+        longestPass = Math.max(longestPass, duration);
+        longPassLog.passEnded(duration, this);
+        Arrays.fill(currentPass, 0);
     }
 
     /** Adds the number of passes, the longest one and the time by kind of work, in microseconds, to a map of counts. */
     public void addTo(Map<String, Long> counts) {
         counts.put("loop_passes", passes);
         counts.put("loop_longest_pass_us", longestPass / NANOS_PER_MICRO);
-        totals.forEach((work, total) ->
-                counts.put("loop_" + work.name().toLowerCase(Locale.ROOT) + "_us", total / NANOS_PER_MICRO));
+        for (Work work : Work.values()) {
+            counts.put(
+                    "loop_" + work.name().toLowerCase(Locale.ROOT) + "_us", totals[work.ordinal()] / NANOS_PER_MICRO);
+        }
     }
 }
--- a/edge/src/main/java/thistlefall/edge/loop/NodeEventLoop.java
+++ b/edge/src/main/java/thistlefall/edge/loop/NodeEventLoop.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
 
 /**
  * The single event loop of a node, with a daemon thread of its own. After a bounded time with tasks it polls its
@@ -20,7 +21,7 @@
     /** How long tasks may run before the sockets are polled again. Netty allows them a second by default. */
     private static final long MAX_TASK_MILLIS = 2;
 
-    private final LoopUsage usage = new LoopUsage();
+    private final LoopUsage usage;
     private final MultiThreadIoEventLoopGroup group;
     private volatile MeasuredIoHandler ioHandler;
 
@@ -42,8 +43,9 @@
         }
     }
 
-    /** Creates an event loop whose thread is named after the node. */
-    public NodeEventLoop(String nodeName, IoHandlerFactory ioHandlerFactory) {
+    /** Creates an event loop whose thread is named after the node; long passes are logged. */
+    public NodeEventLoop(String nodeName, IoHandlerFactory ioHandlerFactory, Logger log) {
+        usage = new LoopUsage(new LongPassLog(nodeName, log));
         group = new BoundedTaskGroup(new DefaultThreadFactory("thistlefall-" + nodeName, true), executor -> {
             ioHandler = new MeasuredIoHandler(ioHandlerFactory.newHandler(executor), usage);
             return ioHandler;
--- a/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
@@ -51,6 +52,7 @@
     private final ResponseEncoder responseEncoder;
     private final ClientPresence presence = new ClientPresence();
     private final ClientInput input;
+    private final NodeMetrics metrics;
     private Channel channel;
     private RequestContext receivingRequest;
     /** The surplus request whose body is being received and discarded; null otherwise. */
@@ -67,6 +69,9 @@
     /** Whether the connection is to end after its next response and stays open at rest until then. */
     private boolean awaitsNextRequest;
 
+    /** What ended the connection; null while it is open. */
+    private ConnectionEnd end;
+
     /** Whether the connection is one too many, so that its request is refused and it ends after that. */
     private boolean refusesRequests;
 
@@ -90,6 +95,7 @@
         this.limits = limits;
         this.dialect = dialect;
         this.decoder = decoder;
+        this.metrics = metrics;
         input = new ClientInput(waitingInput, decoder, timer, metrics, this::inputWaitingChanged);
         responseEncoder = new ResponseEncoder(dialect);
         pendingRequests = new RequestPipeline(limits.maxPipelined(), limits.replayBody());
@@ -297,6 +303,7 @@
 
     /** Handles the close of the client before the event loop has read it. */
     void clientLeft() {
+        endedBy(ConnectionEnd.CLIENT_CLOSED);
         endRequests();
         channel.close();
     }
@@ -483,6 +490,7 @@
         }
         if (unread) {
             log.accept("client cut off: " + unsentBytes() + " bytes of responses not read while memory was short");
+            endedBy(ConnectionEnd.GAVE_WAY);
             Transports.reset(channel);
         }
     }
@@ -568,6 +576,7 @@
 
     /** Resets the connection because the response broke off, so that the client does not consider it complete. */
     void abortResponse(RequestContext requestContext) {
+        endedBy(ConnectionEnd.RESPONSE_BROKEN);
         Transports.reset(channel);
         requestContext.body.release();
     }
@@ -605,8 +614,10 @@
         if (lifecycle.endsAtRest(owedResponses()) && hasUnreadInput()) {
             return false;
         }
+        ConnectionEnd cause = lifecycle.closeAnnounced() ? ConnectionEnd.ANNOUNCED : ConnectionEnd.AT_REST;
         boolean shouldShut = lifecycle.shouldShutOutput(owedResponses());
         if (shouldShut) {
+            endedBy(cause);
             shutOutput();
         }
         return shouldShut;
@@ -657,6 +668,7 @@
             if (channel.isActive() && !channel.isWritable()) {
                 log.accept("client cut off: took nothing for "
                         + limits.writeStall().toMillis() + " ms");
+                endedBy(ConnectionEnd.WRITE_STALLED);
                 channel.close();
             }
         });
@@ -679,6 +691,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        endedBy(ConnectionEnd.CLIENT_CLOSED);
         endRequests();
         timer.cancel(receiveTimer);
         timer.cancel(idleTimer);
@@ -736,12 +749,29 @@
     }
 
     void close() {
+        endedBy(ConnectionEnd.NODE_ENDED);
         channel.close();
     }
 
+    /** Counts what ends the connection, and logs it if requests are left without their responses. */
+    private void endedBy(ConnectionEnd cause) {
+        if (end != null) {
+            return;
+        }
+        end = cause;
+        metrics.countConnectionEnd(cause);
+        int owed = lifecycle.closeAnnounced() ? 0 : owedResponses();
+        if (owed > 0 && cause != ConnectionEnd.CLIENT_CLOSED) {
+            RequestContext firstPending = pendingRequests.first();
+            log.accept("connection ended over requests: cause=" + cause + " responses_owed=" + owed + " client_request="
+                    + (firstPending == null ? null : firstPending.clientRequestId));
+        }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         ChannelErrors.report(channel, cause);
+        endedBy(cause instanceof IOException ? ConnectionEnd.CLIENT_CLOSED : ConnectionEnd.ERROR);
         channel.close();
     }
 }
--- a/edge/src/main/java/thistlefall/edge/node/EdgeNode.java
+++ b/edge/src/main/java/thistlefall/edge/node/EdgeNode.java
@@ -64,7 +64,7 @@
 
     private EdgeNode(NodeDefinition definition, Options options) throws IOException {
         Logger log = LoggerFactory.getLogger("thistlefall.node");
-        nodeEventLoop = new NodeEventLoop(definition.name(), Transports.ioHandlerFactory(definition.listen()));
+        nodeEventLoop = new NodeEventLoop(definition.name(), Transports.ioHandlerFactory(definition.listen()), log);
         eventLoop = nodeEventLoop.loop();
         lingerTimeout = definition.limits().linger();
         try {
@@ -245,6 +245,13 @@
     }
 
     private void enterPhase(GracefulShutdown.Phase phase) {
+        ClientConnectionManager connectionManager = runtime.connectionManager();
+        LoggerFactory.getLogger("thistlefall.node")
+                .atInfo()
+                .addKeyValue("phase", phase)
+                .addKeyValue("connections", connectionManager.connections())
+                .addKeyValue("busy", connectionManager.busyConnections())
+                .log("shutdown");
         switch (phase) {
             case ACCEPTING -> {}
             case DRAIN -> {
--- a/edge/src/main/java/thistlefall/edge/node/NodeMetrics.java
+++ b/edge/src/main/java/thistlefall/edge/node/NodeMetrics.java
@@ -48,6 +48,7 @@
     long discardedBytes;
 
     private final long[] attemptsByOutcome = new long[Outcome.values().length];
+    private final long[] endedByCause = new long[ConnectionEnd.values().length];
     private final long[] refusedByCause = new long[FailureCause.values().length];
 
     NodeMetrics() {}
@@ -61,9 +62,13 @@
         attemptsByOutcome[outcome.ordinal()]++;
     }
 
+    void countConnectionEnd(ConnectionEnd cause) {
+        endedByCause[cause.ordinal()]++;
+    }
+
     /**
-     * Returns the counts by name in a fixed order; attempts per outcome and refusals per cause are included only if
-     * there are any.
+     * Returns the counts by name in a fixed order; attempts per outcome, refusals and ended connections per cause are
+     * included only if there are any.
      */
     public Map<String, Long> asMap() {
         var map = new LinkedHashMap<String, Long>();
@@ -103,6 +108,11 @@
                 map.put("attempts_" + outcome.name().toLowerCase(Locale.ROOT), attemptsByOutcome[outcome.ordinal()]);
             }
         }
+        for (ConnectionEnd cause : ConnectionEnd.values()) {
+            if (endedByCause[cause.ordinal()] > 0) {
+                map.put("connections_" + cause.name().toLowerCase(Locale.ROOT), endedByCause[cause.ordinal()]);
+            }
+        }
         for (FailureCause cause : FailureCause.values()) {
             if (refusedByCause[cause.ordinal()] > 0) {
                 map.put("refused_" + cause.code().replace('-', '_'), refusedByCause[cause.ordinal()]);
