An attempt that is given up has ended only once its connection is reset

What servers saw: an attempt that had timed out was delivered to a server that began to read in the moment in which the client got its answer.

The selector holds a closed socket until its next poll, so the reset came after the answer, by up to a pass of the event loop: a second under a flood.

Change: the end of an attempt whose connection is reset is reported after the next poll, which does not wait. Until then no answer is given and no other attempt begins.

--- a/edge/src/main/java/thistlefall/edge/loop/LongPassLog.java
+++ b/edge/src/main/java/thistlefall/edge/loop/LongPassLog.java
@@ -4,8 +4,8 @@
 import thistlefall.edge.loop.LoopUsage.Work;
 
 /**
- * Logs passes of an event loop that took so long that timers and answers were late, at most one a second. A pause of the
- * process or of the machine counts as work of the pass that it fell into. Used on the event loop; durations are in
+ * Logs passes of an event loop that took so long that timers and answers were late, at most one a second. A pause of
+ * the process or of the machine counts as work of the pass that it fell into. Used on the event loop; durations are in
  * nanoseconds.
  */
 final class LongPassLog {
--- a/edge/src/main/java/thistlefall/edge/loop/MeasuredIoHandler.java
+++ b/edge/src/main/java/thistlefall/edge/loop/MeasuredIoHandler.java
@@ -4,6 +4,8 @@
 import io.netty.channel.IoHandler;
 import io.netty.channel.IoHandlerContext;
 import io.netty.channel.IoRegistration;
+import java.util.ArrayList;
+import java.util.List;
 import thistlefall.edge.loop.LoopUsage.Work;
 
 /**
@@ -14,6 +16,7 @@
     private final IoHandler delegate;
     private final LoopUsage usage;
     private final MeasuredContext measuredContext = new MeasuredContext();
+    private final List<Runnable> afterPoll = new ArrayList<>();
     private PassWork passWork;
     private long finishedAt;
 
@@ -28,7 +31,7 @@
 
         @Override
         public boolean canBlock() {
-            return context.canBlock() && !hasPassWork();
+            return context.canBlock() && !hasPassWork() && afterPoll.isEmpty();
         }
 
         @Override
@@ -60,6 +63,17 @@
         passWork = newPassWork;
     }
 
+    /** Has something run once the sockets have been polled; the next poll does not wait. */
+    void runAfterNextPoll(Runnable action) {
+        afterPoll.add(action);
+    }
+
+    private void runActionsAfterPoll(int count) {
+        List<Runnable> actions = List.copyOf(afterPoll.subList(0, count));
+        afterPoll.subList(0, count).clear();
+        actions.forEach(Runnable::run);
+    }
+
     private boolean hasPassWork() {
         return passWork != null && passWork.hasMore();
     }
@@ -80,7 +94,11 @@
         }
         usage.endPass();
         measuredContext.context = context;
+        int actionsBeforePoll = afterPoll.size();
         int handled = delegate.run(measuredContext);
+        if (actionsBeforePoll > 0) {
+            runActionsAfterPoll(actionsBeforePoll);
+        }
         finishedAt = System.nanoTime();
         return handled;
     }
--- a/edge/src/main/java/thistlefall/edge/loop/NodeEventLoop.java
+++ b/edge/src/main/java/thistlefall/edge/loop/NodeEventLoop.java
@@ -57,6 +57,14 @@
         ioHandler.setPassWork(passWork);
     }
 
+    /**
+     * Has something run once the sockets have been polled again. The system closes a socket only then, because the
+     * selector holds it until its next poll. Called on the event loop.
+     */
+    public void runAfterNextPoll(Runnable action) {
+        ioHandler.runAfterNextPoll(action);
+    }
+
     /** Returns the group that has this event loop only. */
     public MultiThreadIoEventLoopGroup group() {
         return group;
--- a/edge/src/main/java/thistlefall/edge/node/ActionExecutor.java
+++ b/edge/src/main/java/thistlefall/edge/node/ActionExecutor.java
@@ -16,6 +16,7 @@
 import thistlefall.attempt.EndReason;
 import thistlefall.clock.MonotonicWallClock;
 import thistlefall.edge.http.HttpFields;
+import thistlefall.edge.loop.NodeEventLoop;
 import thistlefall.edge.upstream.ConnectionConfirmation;
 import thistlefall.edge.upstream.ServerConnectionPool;
 import thistlefall.request.FailureCause;
@@ -28,6 +29,7 @@
  */
 final class ActionExecutor implements Ports.Actions {
     private final String nodeName;
+    private final NodeEventLoop nodeEventLoop;
     private final EventLoop eventLoop;
     private final Logger log;
     private final NodeClock clock;
@@ -47,7 +49,7 @@
 
     ActionExecutor(
             String nodeName,
-            EventLoop eventLoop,
+            NodeEventLoop nodeEventLoop,
             Logger log,
             NodeClock clock,
             EventLoopTimer timer,
@@ -57,7 +59,8 @@
             ServerPools serverPools,
             Dialect dialect) {
         this.nodeName = nodeName;
-        this.eventLoop = eventLoop;
+        this.nodeEventLoop = nodeEventLoop;
+        eventLoop = nodeEventLoop.loop();
         this.log = log;
         this.clock = clock;
         this.timer = timer;
@@ -92,6 +95,11 @@
         return nodeName;
     }
 
+    /** Has something run once the sockets that were closed before are closed for the system too. */
+    void runAfterNextPoll(Runnable action) {
+        nodeEventLoop.runAfterNextPoll(action);
+    }
+
     EventLoopTimer eventLoopTimer() {
         return timer;
     }
--- a/edge/src/main/java/thistlefall/edge/node/Attempt.java
+++ b/edge/src/main/java/thistlefall/edge/node/Attempt.java
@@ -439,14 +439,21 @@
             confirmation.cancel();
         }
         requestContext.body.detach();
-        if (connection != null) {
+        boolean abandoned = connection != null;
+        if (abandoned) {
             connection.abandon();
             connection = null;
         }
         if (forwarding && progress != AttemptProgress.COMPLETE) {
             requestContext.clientConnection.abortResponse(requestContext);
         }
-        reportOutcome(OutcomeClassifier.classify(progress, endReason, classifyResponse()), endReason);
+        Outcome outcome = OutcomeClassifier.classify(progress, endReason, classifyResponse());
+        if (abandoned) {
+            // Until the system has reset the connection, the server may still get the request.
+            executor.runAfterNextPoll(() -> reportOutcome(outcome, endReason));
+        } else {
+            reportOutcome(outcome, endReason);
+        }
     }
 
     private void reportOutcome(Outcome outcome, EndReason endReason) {
--- a/edge/src/main/java/thistlefall/edge/node/EdgeNode.java
+++ b/edge/src/main/java/thistlefall/edge/node/EdgeNode.java
@@ -85,7 +85,7 @@
     }
 
     private NodeRuntime createRuntime(NodeDefinition definition, Options options, Logger log) {
-        var createdRuntime = new NodeRuntime(definition, options, eventLoop, log);
+        var createdRuntime = new NodeRuntime(definition, options, nodeEventLoop, log);
         nodeEventLoop.setPassWork(createdRuntime.waitingInput());
         return createdRuntime;
     }
--- a/edge/src/main/java/thistlefall/edge/node/NodeRuntime.java
+++ b/edge/src/main/java/thistlefall/edge/node/NodeRuntime.java
@@ -4,6 +4,7 @@
 import java.util.SplittableRandom;
 import org.slf4j.Logger;
 import thistlefall.Ports;
+import thistlefall.edge.loop.NodeEventLoop;
 import thistlefall.edge.settings.Defaults;
 import thistlefall.memory.MemoryBudget;
 import thistlefall.request.FailureCause;
@@ -32,7 +33,8 @@
     private final ServerListUpdater serverListUpdater;
     private final ClientConnectionManager connectionManager;
 
-    NodeRuntime(NodeDefinition definition, EdgeNode.Options options, EventLoop eventLoop, Logger log) {
+    NodeRuntime(NodeDefinition definition, EdgeNode.Options options, NodeEventLoop nodeEventLoop, Logger log) {
+        EventLoop eventLoop = nodeEventLoop.loop();
         var random = new SplittableRandom(options.seed());
         String nodeName = definition.name();
         NodeInterceptor interceptor = options.interceptor();
@@ -61,7 +63,16 @@
                 moduleSettings.loadReportNames(),
                 this::probeCompleted);
         executor = new ActionExecutor(
-                nodeName, eventLoop, log, clock, timer, metrics, activeRequests, moduleSettings, serverPools, dialect);
+                nodeName,
+                nodeEventLoop,
+                log,
+                clock,
+                timer,
+                metrics,
+                activeRequests,
+                moduleSettings,
+                serverPools,
+                dialect);
         connectionManager = new ClientConnectionManager(
                 limits.maxConnections(),
                 new MemoryBudget(definition.clientMemoryLimit() - maxWaitingBytes),
