After long work on sockets they are polled again before timers run

Need: a hold-up of the process among its sockets leaves what came meanwhile unread, and the timers that follow take it for silence: an attempt out of time, a counter silent.

Change: after 10 ms or more with ready sockets the loop polls once more, without waiting, before due timers. EdgeNodeTest: a request may lie in the socket of a connection when another is refused; the test waits until it is counted, and counts only requests that were not refused for the limit.

EdgeNodeTest failed once in a suite, with the count read before the last requests; traced to that.

--- a/edge/src/main/java/thistlefall/edge/loop/MeasuredIoHandler.java
+++ b/edge/src/main/java/thistlefall/edge/loop/MeasuredIoHandler.java
@@ -13,6 +13,9 @@
  * pass. Used on the event loop, except {@link #wakeup}.
  */
 final class MeasuredIoHandler implements IoHandler {
+    /** After so long with sockets others have become ready, and due timers would take that for silence. */
+    private static final long MAX_SOCKET_TIME = 10_000_000L;
+
     private final IoHandler delegate;
     private final LoopUsage usage;
     private final MeasuredContext measuredContext = new MeasuredContext();
@@ -28,10 +31,11 @@
     /** Passes on the context of the event loop and takes the time that the handler reports as spent on sockets. */
     private final class MeasuredContext implements IoHandlerContext {
         private IoHandlerContext context;
+        private boolean blocking;
 
         @Override
         public boolean canBlock() {
-            return context.canBlock() && !hasPassWork() && afterPoll.isEmpty();
+            return blocking && context.canBlock() && !hasPassWork() && afterPoll.isEmpty();
         }
 
         @Override
@@ -95,7 +99,12 @@
         usage.endPass();
         measuredContext.context = context;
         int actionsBeforePoll = afterPoll.size();
+        measuredContext.blocking = true;
         int handled = delegate.run(measuredContext);
+        if (usage.inCurrentPass(Work.SOCKETS) > MAX_SOCKET_TIME) {
+            measuredContext.blocking = false;
+            handled += delegate.run(measuredContext);
+        }
         if (actionsBeforePoll > 0) {
             runActionsAfterPoll(actionsBeforePoll);
         }
--- a/standin/src/test/java/thistlefall/standin/EdgeNodeTest.java
+++ b/standin/src/test/java/thistlefall/standin/EdgeNodeTest.java
@@ -344,7 +344,12 @@
             });
             assertEquals(-1, idle.getInputStream().read(), "the idle connection is closed to make room");
             assertTrue(node.node.metrics().get("idle_closed") > 0);
-            assertTrue(node.node.metrics().get("requests") >= 100, "no connection is rejected while others are idle");
+            // No connection is rejected while others are idle: each of the others has a request, in its socket at
+            // least.
+            EdgeNodeFixture.awaitCondition(() -> {
+                var metrics = node.node.metrics();
+                return metrics.get("requests") - metrics.getOrDefault("refused_full", 0L) >= 100;
+            });
         }
     }
 
