Clients that send much and leave, or stop within requests, do not keep others out

What callers saw: while six clients sent 200 payments each on a connection, closed and opened the next, 32 of 167 usual requests had their connection ended to make room, and most others were refused for want of a connection.

Cause: a connection whose client had left stayed open until all that lay before its close had been decoded. And at the limit, connections whose requests stay incomplete kept all others waiting for up to 2.4 s.

Change: before its input is decoded further, a waiting connection looks ahead in its socket, up to 64 KiB within the budget of waiting input; if the client has left, all of it is dropped. At most four connections are accepted at once, fewer than can be ended in a pass. When nothing could be accepted for 0.1 s, the connection whose request has been incomplete for longest is refused (503). The flood test gains long heads, malformed requests, clients that leave, and a node held to one core.

Result: ClientFloodTest, the new flood: failed before (32 and 22 lost with one and six clients); now 0 lost and 0 late of 806, the longest 26 ms. ConnectionLimitTest's new case, 200 clients that stop within their requests: passes.

--- a/cli/src/test/java/thistlefall/cli/fault/ClientFloodTest.java
+++ b/cli/src/test/java/thistlefall/cli/fault/ClientFloodTest.java
@@ -8,7 +8,7 @@
 import java.util.List;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
+import org.junit.jupiter.params.provider.CsvSource;
 import thistlefall.cli.fault.UsualClients.Summary;
 
 /**
@@ -31,14 +31,19 @@
         return NodeUnderTest.amongEmulatedServers(Files.createDirectory(folder), SERVERS, SERVER_DELAY_MILLIS);
     }
 
+    /** How many clients send at full speed, and whether each node is held to one core. */
     @ParameterizedTest
-    @ValueSource(ints = {1, 6})
-    void othersAreAnsweredInTimeBesideClientsAtFullSpeed(int floodClients) throws Exception {
+    @CsvSource({"1, false", "6, false", "6, true"})
+    void othersAreAnsweredInTimeBesideClientsAtFullSpeed(int floodClients, boolean oneCore) throws Exception {
         List<String> violations = new ArrayList<>();
         try (var node = startNode(folder.resolve("flooded"));
                 var calmNode = startNode(folder.resolve("calm"));
                 var clients = new UsualClients(node.address(), USUAL_CLIENTS, "start");
                 var calmClients = new UsualClients(calmNode.address(), USUAL_CLIENTS, "start")) {
+            if (oneCore) {
+                node.holdToCore(0);
+                calmNode.holdToCore(1);
+            }
             for (FloodKind kind : FloodKind.values()) {
                 clients.beginStretch(kind.name());
                 calmClients.beginStretch(kind.name());
--- a/cli/src/test/java/thistlefall/cli/fault/Flood.java
+++ b/cli/src/test/java/thistlefall/cli/fault/Flood.java
@@ -40,8 +40,10 @@
                 sockets.add(socket);
                 if (kind.connectsForEachRequest()) {
                     write(socket);
-                    socket.setSoTimeout(kind == FloodKind.HALF_REQUESTS ? RETRY_MILLIS : 0);
-                    socket.getInputStream().read(new byte[1024]);
+                    if (!kind.leaves()) {
+                        socket.setSoTimeout(kind == FloodKind.HALF_REQUESTS ? RETRY_MILLIS : 0);
+                        socket.getInputStream().read(new byte[1024]);
+                    }
                 } else {
                     writeOn(socket);
                 }
--- a/cli/src/test/java/thistlefall/cli/fault/FloodKind.java
+++ b/cli/src/test/java/thistlefall/cli/fault/FloodKind.java
@@ -10,18 +10,29 @@
     ONE_BYTE_CHUNKS,
     EMPTY_LINES,
     HALF_REQUESTS,
+    LONG_HEADS,
+    MALFORMED,
+    SEND_MANY_AND_LEAVE,
     CONNECTION_FOR_EACH_REQUEST;
 
     /** How many requests are written at once. */
     private static final int REQUESTS_AT_ONCE = 200;
 
     private static final String HOST = " HTTP/1.1\r\nHost: service.internal\r\n";
+    /** Nearly as many fields as a head may have. */
+    private static final String MANY_FIELDS = "X-Field: value\r\n".repeat(60);
+
     /** Customers are numbers below this. */
     private static final long CUSTOMERS = 1L << 33;
 
     /** Whether each request comes on a connection of its own. */
     boolean connectsForEachRequest() {
-        return this == CONNECTION_FOR_EACH_REQUEST || this == HALF_REQUESTS;
+        return this == CONNECTION_FOR_EACH_REQUEST || this == HALF_REQUESTS || leaves();
+    }
+
+    /** Whether a client closes without reading anything. */
+    boolean leaves() {
+        return this == SEND_MANY_AND_LEAVE;
     }
 
     /** Returns what is written first on each connection. */
@@ -34,7 +45,7 @@
 
     /** Returns what is written at once, with ids from {@code firstNumber} on. */
     String text(long firstNumber) {
-        if (connectsForEachRequest()) {
+        if (connectsForEachRequest() && !leaves()) {
             return request(firstNumber);
         }
         var text = new StringBuilder();
@@ -52,6 +63,9 @@
             case LOOKUPS_OF_NEW_CUSTOMERS -> lookup(number, number % CUSTOMERS);
             case UNKNOWN_TARGETS -> "GET /unknown-" + number + HOST + "X-Trace-Id: " + number + "\r\n\r\n";
             case ONE_BYTE_CHUNKS -> "1\r\nx\r\n";
+            case LONG_HEADS -> "GET /lookup" + HOST + MANY_FIELDS + "X-Trace-Id: " + number + "\r\n\r\n";
+            case MALFORMED -> "GET /lookup" + HOST + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc";
+            case SEND_MANY_AND_LEAVE -> FaultClient.payment("left-" + number, 1);
             case EMPTY_LINES -> "\r\n";
             case HALF_REQUESTS -> "POST /payment" + HOST + "X-Trace-Id: " + number
                     + "\r\nContent-Length: 20\r\n\r\nhalf";
--- a/cli/src/test/java/thistlefall/cli/fault/NodeUnderTest.java
+++ b/cli/src/test/java/thistlefall/cli/fault/NodeUnderTest.java
@@ -124,6 +124,17 @@
                 .orElseThrow();
     }
 
+    /** Has all threads of the process run on one core. */
+    void holdToCore(int core) throws Exception {
+        String[] command = {"taskset", "-a", "-c", "-p", Integer.toString(core), Long.toString(process.pid())};
+        assertEquals(
+                0,
+                new ProcessBuilder(command)
+                        .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                        .start()
+                        .waitFor());
+    }
+
     /** Stops the process, as the machine may at any moment, and returns once it has stopped. */
     void holdUp() throws Exception {
         signal("STOP");
--- a/core/src/main/java/thistlefall/lifecycle/ConnectionLimits.java
+++ b/core/src/main/java/thistlefall/lifecycle/ConnectionLimits.java
@@ -12,6 +12,8 @@
 public record ConnectionLimits(int maxServed, int reserve) {
     private static final int MIN_RESERVE = 4;
     private static final int RESERVE_DIVISOR = 12;
+    /** How long connections may wait to be accepted before one with an incomplete request gives way; nanoseconds. */
+    private static final long MAX_FULL_TIME = 100_000_000L;
 
     /** Returns the limits with the usual reserve. */
     public static ConnectionLimits of(int maxServed) {
@@ -28,6 +30,13 @@
         return open < maxServed;
     }
 
+    /**
+     * Returns whether a connection whose request is incomplete gives way, when no other could be accepted for so long.
+     */
+    public static boolean mustMakeRoom(long fullTime) {
+        return fullTime > MAX_FULL_TIME;
+    }
+
     /**
      * Returns how many connections may be accepted now.
      *
--- a/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
@@ -33,7 +33,7 @@
  * dialect says. {@link #writePiece} tells the sender of a response when the client reads slowly. Connections never wait
  * for each other. Confined to the node's event loop.
  */
-final class ClientConnection extends ChannelInboundHandlerAdapter {
+final class ClientConnection extends ChannelInboundHandlerAdapter implements ClientInput.Listener {
     private static final ByteBuf CONTINUE_RESPONSE = Unpooled.unreleasableBuffer(Unpooled.directBuffer(25)
                     .writeBytes("HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII)))
             .asReadOnly();
@@ -96,7 +96,7 @@
         this.dialect = dialect;
         this.decoder = decoder;
         this.metrics = metrics;
-        input = new ClientInput(waitingInput, decoder, timer, metrics, this::inputWaitingChanged);
+        input = new ClientInput(waitingInput, decoder, timer, metrics, this);
         responseEncoder = new ResponseEncoder(dialect);
         pendingRequests = new RequestPipeline(limits.maxPipelined(), limits.replayBody());
         memory = connectionManager.clientMemory().openAccount();
@@ -246,29 +246,39 @@
     private void cancelReceiveTimer() {
         timer.cancel(receiveTimer);
         receiveTimerActive = false;
+        connectionManager.setIncomplete(this, false);
     }
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
         updateUndecodedBytes();
+        updateReceiveTimer();
+        // What was read may have been nothing but an empty line, so that nothing is owed after all.
+        if (awaitsNextRequest || !shutOutputIfFinished()) {
+            updateIdle();
+        }
+        continueAfterRead();
+    }
+
+    /** A request that is received in part has to be complete in time. */
+    private void updateReceiveTimer() {
         boolean partiallyReceived = isPartiallyReceived();
         if (partiallyReceived && !receiveTimerActive) {
             receiveTimerActive = true;
-            receiveTimer = timer.schedule(receiveTimeoutNanos(), () -> {
-                receiveTimerActive = false;
-                if (isPartiallyReceived()) {
-                    decodeError = new MalformedMessageException(408, "the request took too long to come");
-                    handleDecodeError();
-                }
-            });
+            connectionManager.setIncomplete(this, true);
+            receiveTimer = timer.schedule(receiveTimeoutNanos(), this::receiveTimedOut);
         } else if (!partiallyReceived && receiveTimerActive) {
             cancelReceiveTimer();
         }
-        // What was read may have been nothing but an empty line, so that nothing is owed after all.
-        if (awaitsNextRequest || !shutOutputIfFinished()) {
-            updateIdle();
+    }
+
+    private void receiveTimedOut() {
+        receiveTimerActive = false;
+        connectionManager.setIncomplete(this, false);
+        if (isPartiallyReceived()) {
+            decodeError = new MalformedMessageException(408, "the request took too long to come");
+            handleDecodeError();
         }
-        continueAfterRead();
     }
 
     /** Goes on with the request that waits until the client's input has been read. */
@@ -302,7 +312,8 @@
     }
 
     /** Handles the close of the client before the event loop has read it. */
-    void clientLeft() {
+    @Override
+    public void clientLeft() {
         endedBy(ConnectionEnd.CLIENT_CLOSED);
         endRequests();
         channel.close();
@@ -429,7 +440,8 @@
         }
     }
 
-    private void inputWaitingChanged() {
+    @Override
+    public void inputWaitingChanged() {
         updateAutoRead();
         if (connectionManager.isDraining()) {
             refuseWaitingInput();
@@ -741,9 +753,18 @@
 
     /** Refuses what is only partly received, and closes the connection after the responses to earlier requests. */
     void refuseIncompleteRequest() {
+        refuseIncompleteRequest("the node stops before the request is complete");
+    }
+
+    /** As above, because the node may hold no further connection. */
+    void refuseIncompleteRequestAtLimit() {
+        refuseIncompleteRequest("others wait for a connection, and the request is not complete");
+    }
+
+    private void refuseIncompleteRequest(String reason) {
         closeAfterPendingResponses();
         if (decodeError == null && (receivingRequest != null || owesResponseOutsidePipeline())) {
-            decodeError = new MalformedMessageException(503, "the node stops before the request is complete");
+            decodeError = new MalformedMessageException(503, reason);
             handleDecodeError();
         }
     }
--- a/edge/src/main/java/thistlefall/edge/node/ClientConnectionManager.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientConnectionManager.java
@@ -37,6 +37,9 @@
      */
     private final Set<ClientConnection> lingeringConnections = new LinkedHashSet<>();
 
+    /** Connections with a request that is received in part, the one that began first first. */
+    private final Set<ClientConnection> incompleteConnections = new LinkedHashSet<>();
+
     /** Connections with responses that their sockets had not accepted when last looked at. */
     private final Set<ClientConnection> connectionsWithUnsentBytes = new HashSet<>();
 
@@ -44,6 +47,9 @@
     private ActionExecutor executor;
     private Runnable acceptCapacityListener = () -> {};
     private long openedCount;
+    /** Since when no further connection could be accepted, as seen on ticks; 0 if one can. */
+    private long fullSince;
+
     private long lastOpenedAt = System.nanoTime();
     private boolean shutdownAnnounced;
     private boolean draining;
@@ -140,6 +146,27 @@
         });
         clientMemory.setAvailable(DirectMemory.availableForClients());
         relieveMemoryShortage();
+        refuseIncompleteAtLimit(System.nanoTime());
+    }
+
+    /** If others have waited to be accepted, the connection whose request has been incomplete for longest gives way. */
+    private void refuseIncompleteAtLimit(long now) {
+        if (acceptCapacity() > 0) {
+            fullSince = 0;
+        } else if (fullSince == 0) {
+            fullSince = now;
+        } else if (ConnectionLimits.mustMakeRoom(now - fullSince) && !incompleteConnections.isEmpty()) {
+            metrics.incompleteRefusedAtLimit++;
+            incompleteConnections.iterator().next().refuseIncompleteRequestAtLimit();
+        }
+    }
+
+    /** Marks a connection as one with a request that is received in part, or not. */
+    void setIncomplete(ClientConnection connection, boolean isIncomplete) {
+        incompleteConnections.remove(connection);
+        if (isIncomplete) {
+            incompleteConnections.add(connection);
+        }
     }
 
     /** If a connection was denied memory, lets those that hold more than they may give way, the largest first. */
@@ -197,6 +224,7 @@
     void startLingering(ClientConnection connection) {
         openConnections.remove(connection);
         idleConnections.remove(connection);
+        incompleteConnections.remove(connection);
         lingeringConnections.add(connection);
         connectionsChanged();
     }
@@ -213,6 +241,7 @@
         openConnections.remove(connection);
         idleConnections.remove(connection);
         lingeringConnections.remove(connection);
+        incompleteConnections.remove(connection);
         connectionsWithUnsentBytes.remove(connection);
         connectionsChanged();
     }
--- a/edge/src/main/java/thistlefall/edge/node/ClientInput.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientInput.java
@@ -21,7 +21,7 @@
     private final RequestDecoder decoder;
     private final EventLoopTimer timer;
     private final NodeMetrics metrics;
-    private final Runnable waitingChanged;
+    private final Listener listener;
     private final InputTurn turn = new InputTurn();
     private ChannelHandlerContext context;
     private boolean waiting;
@@ -32,18 +32,27 @@
     private long lastReadAt = System.nanoTime();
     private long arrivedAt;
 
-    /** Creates the handler; {@code waitingChanged} is called when input begins or ends to wait. */
+    /** Learns what the input shows beside requests. */
+    interface Listener {
+        /** Called when input begins or ends to wait. */
+        void inputWaitingChanged();
+
+        /** Called when the client has closed its side behind input that has not been handled. */
+        void clientLeft();
+    }
+
+    /** Creates the handler. */
     ClientInput(
             WaitingInput waitingInput,
             RequestDecoder decoder,
             EventLoopTimer timer,
             NodeMetrics metrics,
-            Runnable waitingChanged) {
+            Listener listener) {
         this.waitingInput = waitingInput;
         this.decoder = decoder;
         this.timer = timer;
         this.metrics = metrics;
-        this.waitingChanged = waitingChanged;
+        this.listener = listener;
         decoder.setTurn(this);
     }
 
@@ -88,56 +97,78 @@
             socketChannel.setMaxReadBytes(turnExhausted ? SMALL_READ_BYTES : Integer.MAX_VALUE);
         }
         turnExhausted = false;
+        updateHeldBytes();
         if (decoder.isHeldBack() && context.channel().isActive()) {
             beginWaiting();
         }
     }
 
-    private void updateHeldBytes(long bytes) {
-        waitingInput.addHeldBytes(bytes - heldBytes);
-        heldBytes = bytes;
+    private void updateHeldBytes() {
+        long decoderBytes = waiting ? decoder.undecodedBytes() : 0;
+        long socketBytes =
+                context.channel() instanceof ClientSocketChannel socketChannel ? socketChannel.lookAheadBytes() : 0;
+        waitingInput.addHeldBytes(decoderBytes + socketBytes - heldBytes);
+        heldBytes = decoderBytes + socketBytes;
     }
 
     private void beginWaiting() {
-        updateHeldBytes(decoder.undecodedBytes());
         if (!waiting) {
             metrics.inputWaits++;
             waitingSince = System.nanoTime();
             waiting = true;
             waitedSinceLastRead = true;
-            waitingChanged.run();
+            listener.inputWaitingChanged();
         }
+        updateHeldBytes();
         waitingInput.add(this);
     }
 
-    /** Handles the next part of the input that waits. */
+    /** Handles the next part of the input that waits; nothing of it if its client has left. */
     void takeTurn() {
-        if (waiting) {
-            turn.beginAfterWait(System.nanoTime());
-            context.fireChannelRead(Unpooled.EMPTY_BUFFER);
-            context.fireChannelReadComplete();
-            if (decoder.isHeldBack() && context.channel().isActive()) {
-                updateHeldBytes(decoder.undecodedBytes());
-                waitingInput.add(this);
-            } else {
-                endWaiting();
-            }
+        if (clientHasLeft()) {
+            listener.clientLeft();
+        } else if (waiting) {
+            decodeWaitingInput();
         } else if (context.channel() instanceof ClientSocketChannel socketChannel) {
-            socketChannel.readByteReadAhead();
+            socketChannel.readWhatWasReadAhead();
+        }
+    }
+
+    /** Looks for the end of the input, as far as there is memory for what lies before it. */
+    private boolean clientHasLeft() {
+        if (!(context.channel() instanceof ClientSocketChannel socketChannel)
+                || !socketChannel.isOpen()
+                || !waitingInput.hasRoomFor(ClientSocketChannel.MAX_LOOK_AHEAD_BYTES)) {
+            return false;
+        }
+        boolean left = socketChannel.lookAhead() == ClientSocketChannel.UnreadInput.END;
+        updateHeldBytes();
+        return left;
+    }
+
+    private void decodeWaitingInput() {
+        turn.beginAfterWait(System.nanoTime());
+        context.fireChannelRead(Unpooled.EMPTY_BUFFER);
+        context.fireChannelReadComplete();
+        if (decoder.isHeldBack() && context.channel().isActive()) {
+            updateHeldBytes();
+            waitingInput.add(this);
+        } else {
+            endWaiting();
         }
     }
 
     private void endWaiting() {
         waiting = false;
-        updateHeldBytes(0);
+        updateHeldBytes();
         metrics.longestInputWait = Math.max(metrics.longestInputWait, System.nanoTime() - waitingSince);
-        waitingChanged.run();
+        listener.inputWaitingChanged();
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext inactiveContext) {
         waiting = false;
-        updateHeldBytes(0);
+        updateHeldBytes();
         waitingInput.remove(this);
         decoder.discardInput();
         context.fireChannelInactive();
--- a/edge/src/main/java/thistlefall/edge/node/ClientSocketChannel.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientSocketChannel.java
@@ -59,9 +59,14 @@
         }
     }
 
+    /** As long as the longest request. */
+    static final int MAX_LOOK_AHEAD_BYTES = 64 * 1024;
+
     private final ByteBuffer byteReadAhead = ByteBuffer.allocate(1).limit(0);
     private Runnable byteReadAheadListener = () -> {};
     private int maxReadBytes = Integer.MAX_VALUE;
+    /** What was read behind the byte read ahead, to see whether the end follows; null if nothing was. */
+    private ByteBuf lookAhead;
 
     private ClientSocketChannel(Channel listener, SocketChannel socket) {
         super(listener, socket);
@@ -87,7 +92,7 @@
 
     /** One byte may be read ahead for the answer. It is read as usual soon, also if no other follows it. */
     private UnreadInput unreadInput() {
-        if (byteReadAhead.hasRemaining()) {
+        if (hasReadAhead()) {
             return UnreadInput.BYTES;
         }
         int length;
@@ -103,9 +108,55 @@
         return length > 0 ? UnreadInput.BYTES : length == 0 ? UnreadInput.NONE : UnreadInput.END;
     }
 
-    /** Reads the byte that was read ahead as usual, with what follows it. */
-    void readByteReadAhead() {
-        if (byteReadAhead.hasRemaining() && isOpen() && config().isAutoRead()) {
+    /**
+     * Reads on without decoding, up to {@link #MAX_LOOK_AHEAD_BYTES}, to see whether the client has closed behind what
+     * it has sent. What was read is decoded later, as if it were read then.
+     */
+    UnreadInput lookAhead() {
+        if (lookAhead != null) {
+            return UnreadInput.BYTES;
+        }
+        lookAhead = alloc().directBuffer(MAX_LOOK_AHEAD_BYTES);
+        int length;
+        try {
+            do {
+                length = lookAhead.writeBytes(javaChannel(), lookAhead.writableBytes());
+            } while (length > 0 && lookAhead.isWritable());
+        } catch (IOException e) {
+            length = -1;
+        }
+        releaseEmptyLookAhead();
+        return length < 0 ? UnreadInput.END : hasReadAhead() ? UnreadInput.BYTES : UnreadInput.NONE;
+    }
+
+    /** Returns the memory that was taken to look ahead. */
+    int lookAheadBytes() {
+        return lookAhead == null ? 0 : lookAhead.capacity();
+    }
+
+    private boolean hasReadAhead() {
+        return byteReadAhead.hasRemaining() || lookAhead != null;
+    }
+
+    private void releaseEmptyLookAhead() {
+        if (lookAhead != null && !lookAhead.isReadable()) {
+            lookAhead.release();
+            lookAhead = null;
+        }
+    }
+
+    @Override
+    protected void doClose() throws Exception {
+        if (lookAhead != null) {
+            lookAhead.release();
+            lookAhead = null;
+        }
+        super.doClose();
+    }
+
+    /** Reads what was read ahead as usual, with what follows it. */
+    void readWhatWasReadAhead() {
+        if (hasReadAhead() && isOpen() && config().isAutoRead()) {
             unsafe().read();
         }
     }
@@ -114,7 +165,7 @@
     @Override
     protected void doBeginRead() throws Exception {
         super.doBeginRead();
-        if (byteReadAhead.hasRemaining()) {
+        if (hasReadAhead()) {
             byteReadAheadListener.run();
         }
     }
@@ -130,6 +181,12 @@
 
     private int readSocket(ByteBuf buffer) throws IOException {
         int length = Math.min(buffer.writableBytes(), maxReadBytes);
+        if (lookAhead != null) {
+            int copied = Math.min(length, lookAhead.readableBytes());
+            buffer.writeBytes(lookAhead, copied);
+            releaseEmptyLookAhead();
+            return copied;
+        }
         unsafe().recvBufAllocHandle().attemptedBytesRead(length);
         return buffer.writeBytes(javaChannel(), length);
     }
--- a/edge/src/main/java/thistlefall/edge/node/EdgeNode.java
+++ b/edge/src/main/java/thistlefall/edge/node/EdgeNode.java
@@ -36,6 +36,8 @@
     private static final long PHASE_CHECK_INTERVAL_MS = 5;
     private static final int MIN_READ_BYTES = 64;
     private static final int INITIAL_READ_BYTES = 2 * 1024;
+    /** Connections accepted at once: fewer than the node can end in one pass if their clients leave at once. */
+    private static final int MAX_ACCEPTS_AT_ONCE = 4;
     /** What is read from one client at once. So much of each may wait for its turn, within the memory for clients. */
     private static final int MAX_READ_BYTES = 8 * 1024;
 
@@ -123,6 +125,9 @@
             bootstrap
                     .channelFactory(() -> new ClientSocketChannel.Listener(runtime.connectionManager()::acceptCapacity))
                     .option(ChannelOption.SO_BACKLOG, 1024)
+                    .option(
+                            ChannelOption.RCVBUF_ALLOCATOR,
+                            new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(MAX_ACCEPTS_AT_ONCE))
                     .option(ChannelOption.SO_REUSEADDR, true)
                     .childOption(ChannelOption.TCP_NODELAY, true);
         } else {
--- a/edge/src/main/java/thistlefall/edge/node/NodeMetrics.java
+++ b/edge/src/main/java/thistlefall/edge/node/NodeMetrics.java
@@ -34,6 +34,7 @@
     long connectionsRejected;
     long acceptFailures;
     long acceptPauses;
+    long incompleteRefusedAtLimit;
     long serverListUpdates;
     long serverListFailures;
     long malformedRequests;
@@ -94,6 +95,7 @@
         map.put("connections_turned_away", connectionsRejected);
         map.put("accept_failures", acceptFailures);
         map.put("accept_pauses", acceptPauses);
+        map.put("incomplete_refused", incompleteRefusedAtLimit);
         map.put("list_updates", serverListUpdates);
         map.put("list_failures", serverListFailures);
         map.put("unreadable", malformedRequests);
--- a/edge/src/main/java/thistlefall/edge/node/WaitingInput.java
+++ b/edge/src/main/java/thistlefall/edge/node/WaitingInput.java
@@ -22,6 +22,11 @@
         return heldBytes < maxBytes;
     }
 
+    /** Whether so much more may wait. */
+    boolean hasRoomFor(long bytes) {
+        return heldBytes + bytes <= maxBytes;
+    }
+
     /** Adds to the bytes that wait; negative if fewer do. */
     void addHeldBytes(long bytes) {
         heldBytes += bytes;
