--- a/cli/src/test/java/thistlefall/cli/fault/ClientFloodTest.java
+++ b/cli/src/test/java/thistlefall/cli/fault/ClientFloodTest.java
@@ -77,4 +77,15 @@
             violations.add(stretch + ": " + flooded + ", without a flood " + calm);
         }
     }
+
+    /** The node must not take its own delays for those of others. */
+    private static void compareLessons(
+            String logLine, NodeUnderTest node, NodeUnderTest calmNode, List<String> violations) {
+        long lines = node.log().lines().filter(line -> line.contains(logLine)).count();
+        long calmLines =
+                calmNode.log().lines().filter(line -> line.contains(logLine)).count();
+        if (lines > calmLines) {
+            violations.add(logLine + ": " + lines + " times, without a flood " + calmLines);
+        }
+    }
 }
--- a/edge/src/main/java/thistlefall/edge/node/ActionExecutor.java
+++ b/edge/src/main/java/thistlefall/edge/node/ActionExecutor.java
@@ -44,7 +44,7 @@
     private final AttemptLog attemptLog;
     private RequestResolver resolver;
     private CounterDispatcher counter;
-    private ClientConnectionManager connectionManager;
+    private ClientRequests clientRequests;
     private boolean closed;
 
     ActionExecutor(
@@ -75,10 +75,8 @@
 
     /** Sets the collaborators that are created after this object. */
     void setCollaborators(
-            ClientConnectionManager clientConnectionManager,
-            RequestResolver requestResolver,
-            CounterDispatcher counterDispatcher) {
-        connectionManager = clientConnectionManager;
+            ClientRequests newClientRequests, RequestResolver requestResolver, CounterDispatcher counterDispatcher) {
+        clientRequests = newClientRequests;
         resolver = requestResolver;
         counter = counterDispatcher;
     }
@@ -119,7 +117,7 @@
                 descriptor.requestClass(),
                 descriptor.plan(),
                 descriptor.customer(),
-                connectionManager.sharedDeadline(requestContext),
+                clientRequests.sharedDeadline(requestContext),
                 descriptor.units(),
                 descriptor.gatewaySetSize(),
                 descriptor.firstGateway(),
@@ -210,9 +208,8 @@
         }
         metrics.attempts++;
         requestContext.currentAttempt = new Attempt(this, requestContext, serverId, attemptNumber);
-        long remainingTime = requestContext.trackedRequest.deadline()
-                - ClientConnectionManager.DEADLINE_MARGIN_NANOS
-                - System.nanoTime();
+        long remainingTime =
+                requestContext.trackedRequest.deadline() - ClientRequests.DEADLINE_MARGIN_NANOS - System.nanoTime();
         requestContext.currentAttempt.start(
                 pool,
                 timeout <= 0 ? remainingTime : Math.min(timeout, remainingTime),
--- a/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
@@ -42,6 +42,7 @@
     private record SurplusRequest(MessageHead.RequestHead head, FailureCause cause) {}
 
     private final ClientConnectionManager connectionManager;
+    private final ClientRequests clientRequests;
     private final Consumer<String> log;
     private final EventLoopTimer timer;
     private final LimitSettings limits;
@@ -50,7 +51,7 @@
     private final RequestPipeline pendingRequests;
     private final MemoryBudget.Account memory;
     private final ResponseEncoder responseEncoder;
-    private final ClientPresence presence = new ClientPresence();
+    private ClientPresence presence;
     private final ClientInput input;
     private final NodeMetrics metrics;
     private Channel channel;
@@ -82,6 +83,7 @@
 
     ClientConnection(
             ClientConnectionManager connectionManager,
+            ClientRequests clientRequests,
             WaitingInput waitingInput,
             NodeMetrics metrics,
             Consumer<String> log,
@@ -90,6 +92,7 @@
             Dialect dialect,
             RequestDecoder decoder) {
         this.connectionManager = connectionManager;
+        this.clientRequests = clientRequests;
         this.log = log;
         this.timer = timer;
         this.limits = limits;
@@ -110,7 +113,7 @@
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         channel = context.channel();
-        presence.setChannel(channel);
+        presence = new ClientPresence(channel);
         openedAt = System.nanoTime();
         updateIdle();
     }
@@ -216,7 +219,7 @@
         receivingSurplus = null;
         cancelReceiveTimer();
         stopAfterLastRequest(surplusRequest.head);
-        connectionManager.countSurplusRequest(surplusRequest.cause);
+        clientRequests.countSurplusRequest(surplusRequest.cause);
         if (pendingRequests.surplusCount() < SurplusRefusals.MAX_PENDING) {
             pendingRequests.addSurplus();
             writeDueRefusals();
@@ -298,7 +301,7 @@
     private void refuseUndispatched() {
         for (RequestContext requestContext : pendingRequests.convertUndispatchedToSurplus()) {
             requestContext.body.release();
-            connectionManager.countSurplusRequest(FailureCause.PIPELINED);
+            clientRequests.countSurplusRequest(FailureCause.PIPELINED);
         }
         updateMemory();
         writeDueRefusals();
@@ -384,20 +387,20 @@
 
     /** Responds to a request, or has it resolved if its client is there; returns false if it has to wait. */
     private boolean dispatch(RequestContext requestContext) {
-        ProblemDetails immediateResponse = connectionManager.immediateResponse(requestContext);
+        ProblemDetails immediateResponse = clientRequests.immediateResponse(requestContext);
         if (immediateResponse != null) {
             sendProblem(requestContext, immediateResponse);
             return true;
         }
         if (refusesRequests) {
-            connectionManager.refuseBeyondLimit(requestContext);
+            clientRequests.refuseBeyondLimit(requestContext);
             return true;
         }
         // While the node drains, the request is refused and nothing begins.
         if (!connectionManager.isDraining() && presence() != ClientPresence.State.PRESENT) {
             return false;
         }
-        connectionManager.resolveRequest(requestContext);
+        clientRequests.resolveRequest(requestContext);
         return true;
     }
 
@@ -411,7 +414,7 @@
             RequestContext brokenRequest = receivingRequest;
             receivingRequest = null;
             if (brokenRequest == pendingRequests.first() && !brokenRequest.responseStarted) {
-                connectionManager.requestBodyFailed(
+                clientRequests.requestBodyFailed(
                         brokenRequest, ProblemDetails.clientError(decodeError.status(), decodeError.getMessage()));
             } else {
                 pendingRequests.removeIncomplete(brokenRequest);
@@ -493,7 +496,7 @@
         List<RequestContext> refused = refusesSurplus() ? pendingRequests.convertWaitingToSurplus() : List.of();
         for (RequestContext requestContext : refused) {
             requestContext.body.release();
-            connectionManager.countSurplusRequest(FailureCause.MEMORY);
+            clientRequests.countSurplusRequest(FailureCause.MEMORY);
         }
         updateMemory();
         boolean unread = unsentBytes() > connectionManager.clientMemory().threshold();
@@ -716,7 +719,7 @@
     private void endRequests() {
         lifecycle.noMoreRequests();
         receivingRequest = null;
-        pendingRequests.removeAll().forEach(connectionManager::clientGone);
+        pendingRequests.removeAll().forEach(clientRequests::clientGone);
     }
 
     /** Closes the connection after its next response; until then it stays open, also while it is idle. */
--- a/edge/src/main/java/thistlefall/edge/node/ClientConnectionManager.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientConnectionManager.java
@@ -6,28 +6,17 @@
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Stream;
-import thistlefall.Ports.RequestClass;
-import thistlefall.clock.MonotonicWallClock;
 import thistlefall.lifecycle.ConnectionLimits;
 import thistlefall.memory.MemoryBudget;
-import thistlefall.request.FailureCause;
 
 /**
- * Manages the clients' connections and accepts their requests: limits the number of both, sets deadlines and passes
- * requests on to the resolver. Confined to the node's event loop; durations are in nanoseconds.
+ * Manages the clients' connections: their number, the memory that they hold, and their end. What is decided of their
+ * number is in {@link ConnectionLimits}. Confined to the node's event loop; durations are in nanoseconds.
  */
 final class ClientConnectionManager {
-    /**
-     * The decision module and the token cache get a deadline this many nanoseconds before the client's, so that the
-     * response is written in time.
-     */
-    static final long DEADLINE_MARGIN_NANOS = 30_000_000L;
-
     private final ConnectionLimits limits;
     private final MemoryBudget clientMemory;
-    private final NodeClock clock;
     private final NodeMetrics metrics;
-    private final ActiveRequests activeRequests;
     private final Set<ClientConnection> openConnections = new HashSet<>();
     /** Connections without a request, the one that has been idle longest first. */
     private final Set<ClientConnection> idleConnections = new LinkedHashSet<>();
@@ -43,8 +32,6 @@
     /** Connections with responses that their sockets had not accepted when last looked at. */
     private final Set<ClientConnection> connectionsWithUnsentBytes = new HashSet<>();
 
-    private RequestResolver resolver;
-    private ActionExecutor executor;
     private Runnable acceptCapacityListener = () -> {};
     private long openedCount;
     /** Since when no further connection could be accepted, as seen on ticks; 0 if one can. */
@@ -54,23 +41,10 @@
     private boolean shutdownAnnounced;
     private boolean draining;
 
-    ClientConnectionManager(
-            int maxConnections,
-            MemoryBudget clientMemory,
-            NodeClock clock,
-            NodeMetrics metrics,
-            ActiveRequests activeRequests) {
+    ClientConnectionManager(int maxConnections, MemoryBudget clientMemory, NodeMetrics metrics) {
         limits = ConnectionLimits.of(maxConnections);
         this.clientMemory = clientMemory;
-        this.clock = clock;
         this.metrics = metrics;
-        this.activeRequests = activeRequests;
-    }
-
-    /** Sets the collaborators that are created after this object. */
-    void setCollaborators(RequestResolver requestResolver, ActionExecutor actionExecutor) {
-        resolver = requestResolver;
-        executor = actionExecutor;
     }
 
     /** Sets what is called whenever {@link #acceptCapacity} may have changed. */
@@ -246,97 +220,6 @@
         connectionsChanged();
     }
 
-    /**
-     * Returns the response to a request that needs no server, see {@link RequestResolver#immediateResponse}, or null.
-     */
-    ProblemDetails immediateResponse(RequestContext requestContext) {
-        ProblemDetails response = resolver.immediateResponse(requestContext);
-        if (response != null) {
-            metrics.requests++;
-        }
-        return response;
-    }
-
-    /** Starts resolving the request that is first on its connection. */
-    void resolveRequest(RequestContext requestContext) {
-        metrics.requests++;
-        requestContext.resolutionStarted = true;
-        resolver.resolve(requestContext);
-    }
-
-    /** Refuses the request of a connection beyond the limit; the connection closes after it. */
-    void refuseBeyondLimit(RequestContext requestContext) {
-        FailureCause cause = draining ? FailureCause.STOPPING : FailureCause.FULL;
-        metrics.requests++;
-        metrics.countRefused(cause);
-        requestContext.clientConnection.sendProblem(requestContext, ProblemDetails.refused(cause, 0));
-    }
-
-    /** Counts a request that is refused without being resolved. */
-    void countSurplusRequest(FailureCause cause) {
-        metrics.requests++;
-        metrics.countRefused(cause);
-    }
-
-    /** Accepts a request, or refuses it and returns false if the node is draining or at its limit of open requests. */
-    boolean accept(RequestContext requestContext, RequestClass requestClass, long clientTimeout) {
-        if (draining || !activeRequests.hasCapacity(requestClass)) {
-            FailureCause cause = draining ? FailureCause.STOPPING : FailureCause.FULL;
-            metrics.countRefused(cause);
-            requestContext.clientConnection.sendProblem(requestContext, ProblemDetails.refused(cause, 0));
-            return false;
-        }
-        activeRequests.accept(requestContext, requestClass, requestContext.arrivedAt + clientTimeout);
-        return true;
-    }
-
-    /** Returns the deadline in shared time for the module and the token cache, never later than the client's. */
-    long sharedDeadline(RequestContext requestContext) {
-        long remainingTime = requestContext.trackedRequest.deadline() - System.nanoTime() - DEADLINE_MARGIN_NANOS;
-        return clock.now() + MonotonicWallClock.minimumElapsed(remainingTime);
-    }
-
-    /** Ends a request whose body is malformed or incomplete; the client gets the given problem document. */
-    void requestBodyFailed(RequestContext requestContext, ProblemDetails problem) {
-        if (requestContext.trackedRequest == null) {
-            requestContext.clientConnection.sendProblem(requestContext, problem);
-            return;
-        }
-        Attempt currentAttempt = requestContext.currentAttempt;
-        activeRequests.clientGone(requestContext);
-        cancelProcessing(requestContext);
-        requestContext.clientConnection.sendProblem(requestContext, problem);
-        if (currentAttempt != null) {
-            currentAttempt.clientGone();
-        }
-        activeRequests.removeIfFinished(requestContext);
-    }
-
-    /** Handles the disconnect of a request's client. */
-    void clientGone(RequestContext requestContext) {
-        requestContext.body.detach();
-        if (requestContext.trackedRequest == null) {
-            metrics.requestsNeverBegun += requestContext.body.isComplete() ? 1 : 0;
-            requestContext.body.release();
-            return;
-        }
-        if (requestContext.trackedRequest.open()) {
-            metrics.clientsGone++;
-            activeRequests.clientGone(requestContext);
-            cancelProcessing(requestContext);
-        }
-        if (requestContext.currentAttempt != null) {
-            requestContext.currentAttempt.clientGone();
-        }
-        requestContext.body.release();
-        activeRequests.removeIfFinished(requestContext);
-    }
-
-    private void cancelProcessing(RequestContext requestContext) {
-        resolver.cancel(requestContext);
-        executor.clientGone(requestContext);
-    }
-
     /** Makes all connections, also new ones, close after their next response. */
     void announceShutdown() {
         shutdownAnnounced = true;
--- a/edge/src/main/java/thistlefall/edge/node/ClientPresence.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientPresence.java
@@ -26,15 +26,15 @@
 
     private static final long NEVER = Long.MIN_VALUE;
 
-    private Channel channel;
+    private final Channel channel;
     private long presentAt = NEVER;
     private long unknownSince = NEVER;
     /** When the socket last held unread bytes. */
     private long unknownAt;
 
-    /** Sets the connection's channel, before anything else is called. */
-    void setChannel(Channel newChannel) {
-        channel = newChannel;
+    /** Creates what is known of the client at the other end of a channel. */
+    ClientPresence(Channel channel) {
+        this.channel = channel;
     }
 
     /** Asks the socket, unless it was asked just before. */
--- a/edge/src/main/java/thistlefall/edge/node/EdgeNode.java
+++ b/edge/src/main/java/thistlefall/edge/node/EdgeNode.java
@@ -110,6 +110,7 @@
                         var decoder = new RequestDecoder(Defaults.requestLimits(limits));
                         var connection = new ClientConnection(
                                 runtime.connectionManager(),
+                                runtime.clientRequests(),
                                 runtime.waitingInput(),
                                 runtime.metrics(),
                                 log::info,
--- a/edge/src/main/java/thistlefall/edge/node/NodeRuntime.java
+++ b/edge/src/main/java/thistlefall/edge/node/NodeRuntime.java
@@ -32,6 +32,7 @@
     private final CounterDispatcher counterDispatcher;
     private final ServerListUpdater serverListUpdater;
     private final ClientConnectionManager connectionManager;
+    private final ClientRequests clientRequests;
 
     NodeRuntime(NodeDefinition definition, EdgeNode.Options options, NodeEventLoop nodeEventLoop, Logger log) {
         EventLoop eventLoop = nodeEventLoop.loop();
@@ -74,11 +75,8 @@
                 serverPools,
                 dialect);
         connectionManager = new ClientConnectionManager(
-                limits.maxConnections(),
-                new MemoryBudget(definition.clientMemoryLimit() - maxWaitingBytes),
-                clock,
-                metrics,
-                activeRequests);
+                limits.maxConnections(), new MemoryBudget(definition.clientMemoryLimit() - maxWaitingBytes), metrics);
+        clientRequests = new ClientRequests(clock, metrics, activeRequests, connectionManager::isDraining);
         serverListUpdater = new ServerListUpdater(
                 definition, eventLoop, random.nextLong(), metrics, serverPools, executor::serverListChanged, log);
         resolver = createResolver(definition, moduleSettings, eventLoop, random.nextLong());
@@ -88,8 +86,8 @@
                 metrics,
                 executor::counterCallCompleted);
         activeRequests.setAttemptLog(executor.attemptLog());
-        connectionManager.setCollaborators(resolver, executor);
-        executor.setCollaborators(connectionManager, resolver, counterDispatcher);
+        clientRequests.setCollaborators(resolver, executor);
+        executor.setCollaborators(clientRequests, resolver, counterDispatcher);
         eventLoop.execute(() -> {
             executor.start(random.nextLong(), interceptor);
             serverListUpdater.start(interceptor);
@@ -110,7 +108,7 @@
             return new TrustedRequestResolver(
                     definition.requestParser(),
                     moduleSettings,
-                    connectionManager,
+                    clientRequests,
                     executor,
                     activeRequests,
                     metrics,
@@ -119,7 +117,7 @@
         return new TokenRequestResolver(
                 definition.bearerSettings(),
                 moduleSettings,
-                connectionManager,
+                clientRequests,
                 executor,
                 listener -> new TokenAuthenticator(
                         definition.bearerSettings(),
@@ -137,6 +135,10 @@
         executor.probeCompleted(serverId, outcome, duration, loadReport);
     }
 
+    ClientRequests clientRequests() {
+        return clientRequests;
+    }
+
     ClientConnectionManager connectionManager() {
         return connectionManager;
     }
--- a/edge/src/main/java/thistlefall/edge/node/TokenRequestResolver.java
+++ b/edge/src/main/java/thistlefall/edge/node/TokenRequestResolver.java
@@ -13,19 +13,19 @@
 
     private final RouteTable routeTable;
     private final Ports.Settings moduleSettings;
-    private final ClientConnectionManager connectionManager;
+    private final ClientRequests clientRequests;
     private final ActionExecutor executor;
     private final TokenAuthenticator authenticator;
 
     TokenRequestResolver(
             NodeSettings settings,
             Ports.Settings moduleSettings,
-            ClientConnectionManager connectionManager,
+            ClientRequests clientRequests,
             ActionExecutor executor,
             TokenAuthenticator.AuthenticatorFactory factory) {
         routeTable = new RouteTable(settings);
         this.moduleSettings = moduleSettings;
-        this.connectionManager = connectionManager;
+        this.clientRequests = clientRequests;
         this.executor = executor;
         authenticator = factory.create(this);
     }
@@ -52,8 +52,8 @@
             return;
         }
         RequestClass requestClass = moduleSettings.classes().get(route.requestClass());
-        if (connectionManager.accept(requestContext, requestClass, clientTimeout(requestContext, requestClass))) {
-            authenticator.authenticate(requestContext, token, connectionManager.sharedDeadline(requestContext));
+        if (clientRequests.accept(requestContext, requestClass, clientTimeout(requestContext, requestClass))) {
+            authenticator.authenticate(requestContext, token, clientRequests.sharedDeadline(requestContext));
         }
     }
 
--- a/edge/src/main/java/thistlefall/edge/node/TrustedRequestResolver.java
+++ b/edge/src/main/java/thistlefall/edge/node/TrustedRequestResolver.java
@@ -18,7 +18,7 @@
 
     private final RequestDescriptor.RequestParser parser;
     private final Ports.Settings moduleSettings;
-    private final ClientConnectionManager connectionManager;
+    private final ClientRequests clientRequests;
     private final ActionExecutor executor;
     private final ActiveRequests activeRequests;
     private final NodeMetrics metrics;
@@ -27,14 +27,14 @@
     TrustedRequestResolver(
             RequestDescriptor.RequestParser parser,
             Ports.Settings moduleSettings,
-            ClientConnectionManager connectionManager,
+            ClientRequests clientRequests,
             ActionExecutor executor,
             ActiveRequests activeRequests,
             NodeMetrics metrics,
             BooleanSupplier readiness) {
         this.parser = parser;
         this.moduleSettings = moduleSettings;
-        this.connectionManager = connectionManager;
+        this.clientRequests = clientRequests;
         this.executor = executor;
         this.activeRequests = activeRequests;
         this.metrics = metrics;
@@ -72,7 +72,7 @@
         }
         RequestDescriptor descriptor = parsedRequest.descriptor();
         requestContext.clientRequestId = parsedRequest.clientRequestId();
-        if (connectionManager.accept(
+        if (clientRequests.accept(
                 requestContext,
                 moduleSettings.classes().get(descriptor.requestClass()),
                 parsedRequest.clientTimeout())) {
