The memory of a client connection is counted in a class of its own

Change: ConnectionMemory has the account, the incomplete input and the unsent bytes. Behaviour unchanged.

--- a/edge/src/main/java/thistlefall/edge/node/Attempt.java
+++ b/edge/src/main/java/thistlefall/edge/node/Attempt.java
@@ -217,7 +217,7 @@
         unsentBytes = out.readableBytes();
         channel.writeAndFlush(out).addListener(writeFuture -> {
             unsentBytes = 0;
-            requestContext.clientConnection.updateMemory();
+            requestContext.clientConnection.memory().update();
             if (connection == requestConnection && writeFuture.isSuccess()) {
                 if (progress == AttemptProgress.CONNECTED) {
                     requestSent();
@@ -321,7 +321,11 @@
     /** Whether a response of this size may be buffered. */
     private boolean canBuffer(long responseBytes) {
         return responseBytes <= executor.dialect().maxBufferedResponse()
-                && requestContext.clientConnection.memory().tryGrow(responseBytes - responseBuffer.capacity());
+                && requestContext
+                        .clientConnection
+                        .memory()
+                        .account()
+                        .tryGrow(responseBytes - responseBuffer.capacity());
     }
 
     private void startForwarding() {
@@ -348,7 +352,7 @@
         if (buffering) {
             responseBuffer.append(piece);
             piece.release();
-            requestContext.clientConnection.updateMemory();
+            requestContext.clientConnection.memory().update();
         } else if (!forwarding) {
             piece.release();
         } else if (!requestContext.clientConnection.writePiece(piece) && !readPaused) {
--- a/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
@@ -23,7 +22,6 @@
 import thistlefall.edge.upstream.ChannelErrors;
 import thistlefall.edge.upstream.Transports;
 import thistlefall.lifecycle.ConnectionLifecycle;
-import thistlefall.memory.MemoryBudget;
 import thistlefall.request.FailureCause;
 import thistlefall.timer.TimingWheel;
 
@@ -49,9 +47,9 @@
     private final Dialect dialect;
     private final RequestDecoder decoder;
     private final RequestPipeline pendingRequests;
-    private final MemoryBudget.Account memory;
     private final ResponseEncoder responseEncoder;
     private ClientPresence presence;
+    private ConnectionMemory memory;
     private final ClientInput input;
     private final NodeMetrics metrics;
     private Channel channel;
@@ -76,7 +74,6 @@
     /** Whether the connection is one too many, so that its request is refused and it ends after that. */
     private boolean refusesRequests;
 
-    private long undecodedBytes;
     private TimingWheel.ScheduledTimeout<Runnable> receiveTimer;
     private TimingWheel.ScheduledTimeout<Runnable> idleTimer;
     private TimingWheel.ScheduledTimeout<Runnable> stallTimer;
@@ -102,7 +99,6 @@
         input = new ClientInput(waitingInput, decoder, timer, metrics, this);
         responseEncoder = new ResponseEncoder(dialect);
         pendingRequests = new RequestPipeline(limits.maxPipelined(), limits.replayBody());
-        memory = connectionManager.clientMemory().openAccount();
     }
 
     /** Returns the handler that stands before the decoder of this connection. */
@@ -114,6 +110,7 @@
     public void handlerAdded(ChannelHandlerContext context) {
         channel = context.channel();
         presence = new ClientPresence(channel);
+        memory = new ConnectionMemory(connectionManager.clientMemory(), channel, pendingRequests);
         openedAt = System.nanoTime();
         updateIdle();
     }
@@ -133,7 +130,7 @@
             decodeError = malformedMessage;
             handleDecodeError();
         }
-        updateMemory();
+        memory.update();
         updateAutoRead();
     }
 
@@ -146,11 +143,11 @@
             receivingSurplus = new SurplusRequest(head, FailureCause.PIPELINED);
             return;
         }
-        if (refusesSurplus() && !memory.tryGrow(RequestContext.heldBytesWithoutBody(head))) {
+        if (refusesSurplus() && !memory.account().tryGrow(RequestContext.heldBytesWithoutBody(head))) {
             receivingSurplus = new SurplusRequest(head, FailureCause.MEMORY);
             return;
         }
-        receivingRequest = new RequestContext(this, head, input.arrivedAt(), limits.replayBody(), memory);
+        receivingRequest = new RequestContext(this, head, input.arrivedAt(), limits.replayBody(), memory.account());
         pendingRequests.add(receivingRequest);
         dispatchPending();
     }
@@ -303,7 +300,7 @@
             requestContext.body.release();
             clientRequests.countSurplusRequest(FailureCause.PIPELINED);
         }
-        updateMemory();
+        memory.update();
         writeDueRefusals();
     }
 
@@ -324,11 +321,8 @@
 
     private void updateUndecodedBytes() {
         // What waits for its turn has a budget of its own.
-        long growth = (decoder.isHeldBack() ? 0 : decoder.undecodedBytes()) - undecodedBytes;
-        undecodedBytes += growth;
-        boolean acceptable =
-                growth <= 0 || decodeError != null || !lifecycle.acceptsRequests() || memory.tryGrow(growth);
-        updateMemory();
+        boolean allowed = memory.tryHoldUndecoded(decoder.isHeldBack() ? 0 : decoder.undecodedBytes());
+        boolean acceptable = allowed || decodeError != null || !lifecycle.acceptsRequests();
         if (!acceptable) {
             decodeError = new MalformedMessageException(503, "too many incomplete requests at once");
             handleDecodeError();
@@ -453,41 +447,25 @@
 
     private boolean canTakeMoreInput() {
         boolean betweenRequests = receivingRequest == null;
-        if (betweenRequests && !pendingRequests.isEmpty() && memory.exceedsThreshold()) {
+        if (betweenRequests && !pendingRequests.isEmpty() && memory.account().exceedsThreshold()) {
             return false;
         }
         return !pendingRequests.isFull() && (betweenRequests || receivingRequest.body.needsMoreInput());
     }
 
     /** What this connection holds of the node's memory for clients. */
-    MemoryBudget.Account memory() {
+    ConnectionMemory memory() {
         return memory;
     }
 
-    /** Updates the account after a change of what the connection holds. */
-    void updateMemory() {
-        memory.setHeld(undecodedBytes + pendingRequests.heldBytes() + unsentBytes());
-    }
-
-    /** Returns the size of the responses that the socket has not accepted yet. */
-    private long unsentBytes() {
-        ChannelOutboundBuffer outboundBuffer = channel.unsafe().outboundBuffer();
-        return outboundBuffer == null ? 0 : outboundBuffer.totalPendingWriteBytes();
-    }
-
     /** Updates the account after a write; what the client is slow to read is looked at again later. */
     private void responseBytesWritten() {
-        updateMemory();
-        if (hasUnsentBytes()) {
+        memory.update();
+        if (memory.hasUnsentBytes()) {
             connectionManager.watchUnsentBytes(this);
         }
     }
 
-    /** Whether the socket has not accepted all responses yet. */
-    boolean hasUnsentBytes() {
-        return unsentBytes() > 0;
-    }
-
     /**
      * Gives up what the connection can do without, because it holds more than it may: requests that wait behind
      * another one are refused, and a client that does not read its responses is disconnected.
@@ -498,13 +476,14 @@
             requestContext.body.release();
             clientRequests.countSurplusRequest(FailureCause.MEMORY);
         }
-        updateMemory();
-        boolean unread = unsentBytes() > connectionManager.clientMemory().threshold();
+        memory.update();
+        boolean unread = memory.exceedsThresholdByUnsentBytes();
         if (!refused.isEmpty() || unread) {
             connectionManager.countGaveWay();
         }
         if (unread) {
-            log.accept("client cut off: " + unsentBytes() + " bytes of responses not read while memory was short");
+            log.accept(
+                    "client cut off: " + memory.unsentBytes() + " bytes of responses not read while memory was short");
             endedBy(ConnectionEnd.GAVE_WAY);
             Transports.reset(channel);
         }
@@ -512,7 +491,7 @@
 
     /** Whether a response is owed or not yet fully written to the socket. */
     boolean isBusy() {
-        return owedResponses() > 0 || hasUnsentBytes();
+        return owedResponses() > 0 || memory.hasUnsentBytes();
     }
 
     /** Returns the number of responses that this connection owes; {@link ConnectionLifecycle} says from when on. */
@@ -694,7 +673,7 @@
         if (channel.isWritable()) {
             timer.cancel(stallTimer);
             stallTimer = null;
-            updateMemory();
+            memory.update();
             writeDueRefusals();
             dispatchPending();
             RequestContext firstPending = pendingRequests.first();
--- a/edge/src/main/java/thistlefall/edge/node/ClientConnectionManager.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientConnectionManager.java
@@ -115,8 +115,8 @@
     /** Updates the accounts of clients that are slow to read, and ends a shortage of memory. */
     void onTick() {
         connectionsWithUnsentBytes.removeIf(connection -> {
-            connection.updateMemory();
-            return !connection.hasUnsentBytes();
+            connection.memory().update();
+            return !connection.memory().hasUnsentBytes();
         });
         clientMemory.setAvailable(DirectMemory.availableForClients());
         relieveMemoryShortage();
@@ -149,9 +149,9 @@
             return;
         }
         Stream.concat(openConnections.stream(), lingeringConnections.stream())
-                .filter(connection -> connection.memory().exceedsThreshold())
+                .filter(connection -> connection.memory().account().exceedsThreshold())
                 .sorted(Comparator.comparingLong((ClientConnection connection) ->
-                                connection.memory().held())
+                                connection.memory().account().held())
                         .reversed())
                 .toList()
                 .forEach(ClientConnection::giveWay);
