The first step of a turn is always taken, also after a hold-up within it

What callers saw: while a node drained, a client was refused (503) for input that did not wait for anything; halfAnEmptyLineDoesNotKeepTheNodeUp failed once, and 4 of 150 times when repeated, with input_waits=1 in each.

Cause: a turn is bounded by 100 us, and a process that is held up for that long between its begin and its first step took no step at all; the input then counted as that of a client that sends more than one request at a time.

Change: the first step is always taken. An error in a turn ends its connection only, and an action after a poll runs as a task. Clients that may pipeline are not refused in the drain for waiting input.

--- a/core/src/main/java/thistlefall/turn/InputTurn.java
+++ b/core/src/main/java/thistlefall/turn/InputTurn.java
@@ -12,6 +12,7 @@
     private long beganAt;
     private boolean endsAfterRequest;
     private boolean requestHandled;
+    private boolean stepTaken;
 
     /** Begins the turn directly after a read. */
     public void beginAfterRead(long now) {
@@ -27,6 +28,7 @@
         beganAt = now;
         endsAfterRequest = singleRequest;
         requestHandled = false;
+        stepTaken = false;
     }
 
     /** Records that a request has been handled to its last byte. */
@@ -34,8 +36,13 @@
         requestHandled = true;
     }
 
-    /** Returns whether another step belongs to this turn; the first one always does. */
-    public boolean mayContinue(long now) {
-        return !(endsAfterRequest && requestHandled) && now - beganAt < MAX_DURATION;
+    /**
+     * Returns whether a step that is to be taken now belongs to this turn. The first one always does, also if the
+     * process was held up since the turn began.
+     */
+    public boolean mayTakeStep(long now) {
+        boolean first = !stepTaken;
+        stepTaken = true;
+        return first || !(endsAfterRequest && requestHandled) && now - beganAt < MAX_DURATION;
     }
 }
--- a/core/src/test/java/thistlefall/turn/TurnQueueTest.java
+++ b/core/src/test/java/thistlefall/turn/TurnQueueTest.java
@@ -42,17 +42,29 @@
     void turnAfterReadEndsWithItsFirstRequest() {
         var turn = new InputTurn();
         turn.beginAfterRead(0);
-        assertTrue(turn.mayContinue(0), "a head and its body may take several steps");
+        assertTrue(turn.mayTakeStep(0), "a head and its body may take several steps");
         turn.requestHandled();
-        assertFalse(turn.mayContinue(0));
+        assertFalse(turn.mayTakeStep(0));
+    }
+
+    /** Guards against input that waits without progress because the process was held up within its turn. */
+    @Test
+    void firstStepIsTakenHoweverLateItIs() {
+        var turn = new InputTurn();
+        turn.beginAfterRead(0);
+        assertTrue(turn.mayTakeStep(10 * InputTurn.MAX_DURATION));
+        assertFalse(turn.mayTakeStep(10 * InputTurn.MAX_DURATION));
+        turn.beginAfterWait(0);
+        assertTrue(turn.mayTakeStep(10 * InputTurn.MAX_DURATION));
     }
 
     @Test
     void turnAfterWaitIsBoundedByTime() {
         var turn = new InputTurn();
         turn.beginAfterWait(5);
+        assertTrue(turn.mayTakeStep(5));
         turn.requestHandled();
-        assertTrue(turn.mayContinue(5 + InputTurn.MAX_DURATION - 1));
-        assertFalse(turn.mayContinue(5 + InputTurn.MAX_DURATION));
+        assertTrue(turn.mayTakeStep(5 + InputTurn.MAX_DURATION - 1));
+        assertFalse(turn.mayTakeStep(5 + InputTurn.MAX_DURATION));
     }
 }
--- a/edge/src/main/java/thistlefall/edge/http/DecodeTurn.java
+++ b/edge/src/main/java/thistlefall/edge/http/DecodeTurn.java
@@ -5,7 +5,7 @@
     /** Sets no bound. */
     DecodeTurn UNBOUNDED = new DecodeTurn() {
         @Override
-        public boolean mayContinue() {
+        public boolean mayTakeStep() {
             return true;
         }
 
@@ -16,7 +16,7 @@
     };
 
     /** Returns whether another part of a message may be decoded now. */
-    boolean mayContinue();
+    boolean mayTakeStep();
 
     /** Called for each message that has been decoded to its end. */
     void messageDecoded();
--- a/edge/src/main/java/thistlefall/edge/http/MessageDecoder.java
+++ b/edge/src/main/java/thistlefall/edge/http/MessageDecoder.java
@@ -87,7 +87,7 @@
 
     @Override
     protected final void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) {
-        heldBack = state != DecoderState.BROKEN && !turn.mayContinue();
+        heldBack = state != DecoderState.BROKEN && !turn.mayTakeStep();
         if (heldBack) {
             return;
         }
--- a/edge/src/main/java/thistlefall/edge/loop/NodeEventLoop.java
+++ b/edge/src/main/java/thistlefall/edge/loop/NodeEventLoop.java
@@ -62,7 +62,7 @@
      * selector holds it until its next poll. Called on the event loop.
      */
     public void runAfterNextPoll(Runnable action) {
-        ioHandler.runAfterNextPoll(action);
+        ioHandler.runAfterNextPoll(() -> loop().execute(action));
     }
 
     /** Returns the group that has this event loop only. */
--- a/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
@@ -728,7 +728,7 @@
     }
 
     private void refuseWaitingInput() {
-        if (input.isWaiting()) {
+        if (refusesSurplus() && input.isWaiting()) {
             refuseIncompleteRequest();
         }
     }
--- a/edge/src/main/java/thistlefall/edge/node/ClientInput.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientInput.java
@@ -125,6 +125,15 @@
 
     /** Handles the next part of the input that waits; nothing of it if its client has left. */
     void takeTurn() {
+        try {
+            takeTurnUnguarded();
+        } catch (RuntimeException | OutOfMemoryError e) {
+            // As for a read of the event loop: an error ends the connection, and nothing else.
+            context.fireExceptionCaught(e);
+        }
+    }
+
+    private void takeTurnUnguarded() {
         if (clientHasLeft()) {
             listener.clientLeft();
         } else if (waiting) {
@@ -175,8 +184,8 @@
     }
 
     @Override
-    public boolean mayContinue() {
-        if (turn.mayContinue(System.nanoTime())) {
+    public boolean mayTakeStep() {
+        if (turn.mayTakeStep(System.nanoTime())) {
             return true;
         }
         turnExhausted = true;
--- a/edge/src/main/java/thistlefall/edge/node/ConnectionMemory.java
+++ b/edge/src/main/java/thistlefall/edge/node/ConnectionMemory.java
@@ -5,8 +5,8 @@
 import thistlefall.memory.MemoryBudget;
 
 /**
- * What one client connection holds of the node's memory for clients: its requests with their attempts, incomplete input,
- * and responses that its socket has not accepted. Confined to the node's event loop; sizes are in bytes.
+ * What one client connection holds of the node's memory for clients: its requests with their attempts, incomplete
+ * input, and responses that its socket has not accepted. Confined to the node's event loop; sizes are in bytes.
  */
 final class ConnectionMemory {
     private final MemoryBudget budget;
