Test: ClientFloodTest names the requests that were not served, and their answers

The node counts neither. Now each violation lists the requests of its stretch that were not served, with the response as it was received. No bound is changed.

--- a/cli/src/test/java/thistlefall/cli/fault/ClientFloodTest.java
+++ b/cli/src/test/java/thistlefall/cli/fault/ClientFloodTest.java
@@ -74,7 +74,8 @@
         System.out.println(stretch + ": flooded " + flooded + ", calm " + calm);
         boolean moreRefused = flooded.requests() - flooded.served() > calm.requests() - calm.served();
         if (flooded.lost() > 0 || flooded.late() > calm.late() || moreRefused) {
-            violations.add(stretch + ": " + flooded + ", without a flood " + calm);
+            violations.add(stretch + ": " + flooded + ", without a flood " + calm + ", not served: "
+                    + clients.notServed(stretch));
         }
     }
 
--- a/cli/src/test/java/thistlefall/cli/fault/FaultClient.java
+++ b/cli/src/test/java/thistlefall/cli/fault/FaultClient.java
@@ -18,7 +18,7 @@
     private static final int MAX_WAIT_MILLIS = 10_000;
 
     private final Socket socket;
-    private boolean announcedClose;
+    private String lastResponse = "";
 
     FaultClient(InetSocketAddress node) throws IOException {
         socket = new Socket(node.getAddress(), node.getPort());
@@ -58,6 +58,7 @@
 
     /** Reads a response and returns its status; 0 if the connection ends before its last byte. */
     int readStatus() throws IOException {
+        lastResponse = "";
         var head = new ByteArrayOutputStream();
         String text = "";
         while (!text.endsWith("\r\n\r\n")) {
@@ -68,16 +69,22 @@
             head.write(next);
             text = next == '\n' ? head.toString(StandardCharsets.ISO_8859_1) : "";
         }
-        announcedClose = text.contains("Connection: close");
+        lastResponse = text;
         Matcher length = CONTENT_LENGTH.matcher(text);
         int bodyBytes = length.find() ? Integer.parseInt(length.group(1)) : 0;
-        boolean complete = socket.getInputStream().readNBytes(bodyBytes).length == bodyBytes;
-        return complete ? Integer.parseInt(text.substring(9, 12)) : 0;
+        byte[] body = socket.getInputStream().readNBytes(bodyBytes);
+        lastResponse += new String(body, StandardCharsets.ISO_8859_1);
+        return body.length == bodyBytes ? Integer.parseInt(text.substring(9, 12)) : 0;
+    }
+
+    /** Returns what was received of the last response, head and body. */
+    String lastResponse() {
+        return lastResponse;
     }
 
     /** Returns whether the last response has announced that the node closes the connection. */
     boolean announcedClose() {
-        return announcedClose;
+        return lastResponse.contains("Connection: close");
     }
 
     /** Closes the connection by a reset. */
--- a/cli/src/test/java/thistlefall/cli/fault/UsualClients.java
+++ b/cli/src/test/java/thistlefall/cli/fault/UsualClients.java
@@ -26,8 +26,9 @@
      * A request as its client saw it.
      *
      * @param status 0 if the connection ended without an answer, -1 if nothing came in time
+     * @param response what was received, if the request was not served
      */
-    record Request(String stretch, String id, int timeMillis, long tookMillis, int status) {
+    record Request(String stretch, String id, int timeMillis, long tookMillis, int status, String response) {
         boolean isLate() {
             return status < 0 || tookMillis > timeMillis;
         }
@@ -78,6 +79,13 @@
         stretch = name;
     }
 
+    /** Returns the requests of a stretch that were not served. */
+    List<Request> notServed(String name) {
+        return requests.stream()
+                .filter(request -> request.stretch().equals(name) && request.status() != 200)
+                .toList();
+    }
+
     Summary summary(String name) {
         return Summary.of(requests.stream()
                 .filter(request -> request.stretch().equals(name))
@@ -126,7 +134,8 @@
             status = 0;
         }
         long tookMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentAt);
-        return new Request(sentIn, id, timeMillis, tookMillis, status);
+        String response = status == 200 ? "" : connection.lastResponse();
+        return new Request(sentIn, id, timeMillis, tookMillis, status, response);
     }
 
     @Override
