A request that the node has read in parts is not refused as incomplete

Cause: connections that linger after the malformed requests of six clients fill the node's places, each while the rest of what its client sent is read, 8 KiB a pass. After 0.1 s without a place the connection with the oldest incomplete request gives way. The node reads as few bytes at once as the client's last requests had (64 at least), so a usual request may come to it in two passes; a tick between them took it for one whose client has stopped within it, though its last byte lay in the socket.

Change: a request gives way only when it has itself been incomplete for 0.1 s, and its socket has been asked and holds nothing more. ConnectionLimits decides both times; `needsRoom`, the opposite of `mayServe`, is gone.

--- a/core/src/main/java/thistlefall/lifecycle/ConnectionLimits.java
+++ b/core/src/main/java/thistlefall/lifecycle/ConnectionLimits.java
@@ -14,27 +14,27 @@
     private static final int RESERVE_DIVISOR = 12;
     /** How long connections may wait to be accepted before one with an incomplete request gives way; nanoseconds. */
     private static final long MAX_FULL_TIME = 100_000_000L;
+    /** How long a request is always given to be complete, from its first byte on; nanoseconds. */
+    private static final long MIN_RECEIVE_TIME = 100_000_000L;
 
     /** Returns the limits with the usual reserve. */
     public static ConnectionLimits of(int maxServed) {
         return new ConnectionLimits(maxServed, Math.max(MIN_RESERVE, maxServed / RESERVE_DIVISOR));
     }
 
-    /** Returns whether a connection at rest should end before another one is served. */
-    public boolean needsRoom(int open) {
-        return open >= maxServed;
-    }
-
-    /** Returns whether another connection is served; otherwise its request is refused. */
+    /** Returns whether another connection is served; otherwise one at rest should end, or its request is refused. */
     public boolean mayServe(int open) {
         return open < maxServed;
     }
 
     /**
-     * Returns whether a connection whose request is incomplete gives way, when no other could be accepted for so long.
+     * Returns whether a connection with an incomplete request gives way to those that wait to be accepted; nanoseconds.
+     *
+     * @param fullTime for how long no other connection could be accepted
+     * @param incompleteTime for how long the request has been incomplete
      */
-    public static boolean mustMakeRoom(long fullTime) {
-        return fullTime > MAX_FULL_TIME;
+    public static boolean mustGiveWay(long fullTime, long incompleteTime) {
+        return fullTime > MAX_FULL_TIME && incompleteTime > MIN_RECEIVE_TIME;
     }
 
     /**
--- a/edge/src/main/java/thistlefall/edge/node/ClientConnectionManager.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientConnectionManager.java
@@ -2,8 +2,11 @@
 
 import java.util.Comparator;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Stream;
 import thistlefall.lifecycle.ConnectionLimits;
@@ -26,8 +29,8 @@
      */
     private final Set<ClientConnection> lingeringConnections = new LinkedHashSet<>();
 
-    /** Connections with a request that is received in part, the one that began first first. */
-    private final Set<ClientConnection> incompleteConnections = new LinkedHashSet<>();
+    /** Connections with a request that is received in part, and since when; the one that began first first. */
+    private final Map<ClientConnection, Long> incompleteSince = new LinkedHashMap<>();
 
     /** Connections with responses that their sockets had not accepted when last looked at. */
     private final Set<ClientConnection> connectionsWithUnsentBytes = new HashSet<>();
@@ -66,7 +69,7 @@
     void register(ClientConnection connection) {
         lastOpenedAt = System.nanoTime();
         openedCount++;
-        if (limits.needsRoom(openConnections.size())) {
+        if (!limits.mayServe(openConnections.size())) {
             endConnectionAtRest();
         }
         boolean served = !draining && limits.mayServe(openConnections.size());
@@ -129,17 +132,28 @@
             fullSince = 0;
         } else if (fullSince == 0) {
             fullSince = now;
-        } else if (ConnectionLimits.mustMakeRoom(now - fullSince) && !incompleteConnections.isEmpty()) {
-            metrics.incompleteRefusedAtLimit++;
-            incompleteConnections.iterator().next().refuseIncompleteRequestAtLimit();
+        } else {
+            longestIncomplete(now).ifPresent(connection -> {
+                metrics.incompleteRefusedAtLimit++;
+                connection.refuseIncompleteRequestAtLimit();
+            });
         }
     }
 
+    /** Returns the connection that has to give way first; the rest of its request does not lie in its socket. */
+    private Optional<ClientConnection> longestIncomplete(long now) {
+        return incompleteSince.entrySet().stream()
+                .takeWhile(entry -> ConnectionLimits.mustGiveWay(now - fullSince, now - entry.getValue()))
+                .map(Map.Entry::getKey)
+                .filter(connection -> !connection.hasUnreadInput())
+                .findFirst();
+    }
+
     /** Marks a connection as one with a request that is received in part, or not. */
     void setIncomplete(ClientConnection connection, boolean isIncomplete) {
-        incompleteConnections.remove(connection);
+        incompleteSince.remove(connection);
         if (isIncomplete) {
-            incompleteConnections.add(connection);
+            incompleteSince.put(connection, System.nanoTime());
         }
     }
 
@@ -198,7 +212,7 @@
     void startLingering(ClientConnection connection) {
         openConnections.remove(connection);
         idleConnections.remove(connection);
-        incompleteConnections.remove(connection);
+        incompleteSince.remove(connection);
         lingeringConnections.add(connection);
         connectionsChanged();
     }
@@ -215,7 +229,7 @@
         openConnections.remove(connection);
         idleConnections.remove(connection);
         lingeringConnections.remove(connection);
-        incompleteConnections.remove(connection);
+        incompleteSince.remove(connection);
         connectionsWithUnsentBytes.remove(connection);
         connectionsChanged();
     }
