An attempt that its own client holds up says nothing about its server

Cause: an attempt whose client has more input in its socket waits until that has been read, since the client's close may lie behind it.

Change: such an attempt ends as not started, so as not sent, from which nothing is learned. That it provably never ran stays.

--- a/cli/src/test/java/thistlefall/cli/fault/ClientFloodTest.java
+++ b/cli/src/test/java/thistlefall/cli/fault/ClientFloodTest.java
@@ -60,6 +60,8 @@
                 compare(kind.name(), clients, calmClients, violations);
                 compare(AFTER + kind, clients, calmClients, violations);
             }
+            compareLessons("node=n0 server shunned", node, calmNode, violations);
+            compareLessons("node=n0 counter silent", node, calmNode, violations);
             node.stop();
             System.out.println(
                     node.log().lines().filter(line -> line.contains("ended: ")).toList());
--- a/core/src/main/java/thistlefall/attempt/EndReason.java
+++ b/core/src/main/java/thistlefall/attempt/EndReason.java
@@ -24,8 +24,8 @@
     /** The attempt was cancelled: the client left or sent a broken body, or the server drains, is gone or replaced. */
     WITHDRAWN,
     /**
-     * The host did not send the attempt: it may not be sent any more, the token expired, the body cannot be sent again,
-     * or the node stops.
+     * The host did not send the attempt: it may not be sent any more, its client did not stop sending, the token
+     * expired, the body cannot be sent again, or the node stops.
      */
     NOT_STARTED
 }
--- a/edge/src/main/java/thistlefall/edge/node/Attempt.java
+++ b/edge/src/main/java/thistlefall/edge/node/Attempt.java
@@ -64,6 +64,9 @@
     /** Whether it waits until the input of its client has been read, so that a close behind it is known. */
     private boolean waitsForClientInput;
 
+    /** Whether it has ever waited for that, so that its server is not to blame if it is late. */
+    private boolean heldUpByClient;
+
     private boolean clientGone;
     private boolean forwarding;
     private boolean readPaused;
@@ -111,7 +114,7 @@
     void start(ServerConnectionPool serverPool, long timeout, SendLimits limits) {
         pool = serverPool;
         sendLimits = limits;
-        deadlineTimeout = executor.eventLoopTimer().schedule(timeout, () -> end(EndReason.OVERDUE));
+        deadlineTimeout = executor.eventLoopTimer().schedule(timeout, this::endOverdue);
         sendPermission = new SendPermission(startedAt + Math.min(timeout, limits.sendTime()));
         if (limits.sendTime() < timeout) {
             sendTimeout = executor.eventLoopTimer().schedule(limits.sendTime(), this::endUnlessSent);
@@ -141,6 +144,7 @@
             case UNKNOWN -> {
                 acquiredConnection.release();
                 waitsForClientInput = true;
+                heldUpByClient = true;
             }
         }
     }
@@ -242,10 +246,15 @@
     private void endUnlessSent() {
         if (progress.compareTo(AttemptProgress.WRITTEN) < 0) {
             executor.countLateSend();
-            end(EndReason.OVERDUE);
+            endOverdue();
         }
     }
 
+    private void endOverdue() {
+        boolean written = progress.compareTo(AttemptProgress.WRITTEN) >= 0;
+        end(heldUpByClient && !written ? EndReason.NOT_STARTED : EndReason.OVERDUE);
+    }
+
     /** Takes the attempt back if no byte of it has been sent. */
     void withdraw() {
         if (!ended && progress == AttemptProgress.WAITING) {
