The time for which a client holds up its attempt is not its server's time

Need: the module learns the latency of a server and the service time of a class from the duration of attempts. An attempt that waited until its client's input had been read, and was then served, was reported with that wait. One client that sends much at once made servers look slow for all, and its class be refused for time.

Change: the wait is not counted.

--- a/core/src/main/java/thistlefall/Ports.java
+++ b/core/src/main/java/thistlefall/Ports.java
@@ -251,7 +251,7 @@
     /**
      * The end of an attempt.
      *
-     * @param duration duration since the attempt was sent
+     * @param duration duration since the attempt was sent, without the time for which its client held it up
      * @param responseComplete whether the request needs no further response
      * @param trueUnits units that replace the estimate; 0 if unknown
      * @param report the server's load report; empty if none
--- a/edge/src/main/java/thistlefall/edge/node/Attempt.java
+++ b/edge/src/main/java/thistlefall/edge/node/Attempt.java
@@ -64,8 +64,11 @@
     /** Whether it waits until the input of its client has been read, so that a close behind it is known. */
     private boolean waitsForClientInput;
 
-    /** Whether it has ever waited for that, so that its server is not to blame if it is late. */
-    private boolean heldUpByClient;
+    /** Since when it waits for that, or did last; 0 if it never has. */
+    private long heldUpSince;
+
+    /** How long it has waited for that: time of its client, not of its server. */
+    private long heldUpTime;
 
     private boolean clientGone;
     private boolean forwarding;
@@ -144,7 +147,7 @@
             case UNKNOWN -> {
                 acquiredConnection.release();
                 waitsForClientInput = true;
-                heldUpByClient = true;
+                heldUpSince = System.nanoTime();
             }
         }
     }
@@ -157,6 +160,7 @@
             return;
         }
         waitsForClientInput = false;
+        heldUpTime += System.nanoTime() - heldUpSince;
         acquireConnection();
     }
 
@@ -250,9 +254,10 @@
         }
     }
 
+    /** Ends the attempt because its time is over; its server is not to blame if its client has held it up. */
     private void endOverdue() {
         boolean written = progress.compareTo(AttemptProgress.WRITTEN) >= 0;
-        end(heldUpByClient && !written ? EndReason.NOT_STARTED : EndReason.OVERDUE);
+        end(heldUpSince != 0 && !written ? EndReason.NOT_STARTED : EndReason.OVERDUE);
     }
 
     /** Takes the attempt back if no byte of it has been sent. */
@@ -477,7 +482,7 @@
         executor.attemptLog().ended(requestContext, this, outcome, endReason, progress);
         List<Double> loadReport = head == null ? List.of() : executor.loadReport(head.fields());
         double trueUnits = head == null ? 0 : executor.dialect().trueUnits(head.fields());
-        executor.attemptEnded(
-                requestContext, this, new AttemptResult(outcome, System.nanoTime() - startedAt, trueUnits, loadReport));
+        long duration = System.nanoTime() - startedAt - heldUpTime;
+        executor.attemptEnded(requestContext, this, new AttemptResult(outcome, duration, trueUnits, loadReport));
     }
 }
--- a/standin/src/main/java/thistlefall/standin/fault/FaultInjector.java
+++ b/standin/src/main/java/thistlefall/standin/fault/FaultInjector.java
@@ -111,30 +111,28 @@
     }
 
     /** Alters events on their way to the decision module. */
-    private final class FaultyEvents implements Ports.Events {
-        private final Ports.Events delegate;
-
+    private final class FaultyEvents extends ForwardingEvents {
         private FaultyEvents(Ports.Events delegate) {
-            this.delegate = delegate;
+            super(delegate);
         }
 
         @Override
         public void serverListUpdated(long at, Ports.ListKind kind, List<Server> entries) {
             entries.forEach(server -> knownServers.put(server.id(), server));
-            delegate.serverListUpdated(at, kind, entries);
+            super.serverListUpdated(at, kind, entries);
         }
 
         @Override
         public void request(long at, Ports.Request request) {
             lastEventAt = at;
-            delegate.request(at, request);
+            super.request(at, request);
         }
 
         @Override
         public void attemptEnded(long at, Result result) {
             lastEventAt = at;
             boolean mayHaveRun = !result.outcome().provesNeverRan() && result.outcome() != Outcome.OK;
-            delegate.attemptEnded(
+            super.attemptEnded(
                     at,
                     mayHaveRun && faults.contains(InjectedFault.FALSE_PROOF)
                             ? new Result(
@@ -149,31 +147,16 @@
                             : result);
         }
 
-        @Override
-        public void streamStarted(long at, String id) {
-            delegate.streamStarted(at, id);
-        }
-
-        @Override
-        public void clientGone(long at, String id) {
-            delegate.clientGone(at, id);
-        }
-
         @Override
         public void counterCallEnded(long at, long name, Outcome outcome, double total) {
             lastEventAt = at;
-            delegate.counterCallEnded(at, name, outcome, total);
-        }
-
-        @Override
-        public void probeEnded(long at, String server, Outcome outcome, long took, List<Double> report) {
-            delegate.probeEnded(at, server, outcome, took, report);
+            super.counterCallEnded(at, name, outcome, total);
         }
 
         @Override
         public void timerExpired(long at, long token) {
             lastEventAt = at;
-            delegate.timerExpired(at, token);
+            super.timerExpired(at, token);
         }
     }
 
