One limit of log lines by time, one place that refuses for FULL or STOPPING

Need: the once-a-second limit stood in LongPassLog and ConnectionAcceptor, the choice between FULL and STOPPING twice in ClientRequests. Change: LogInterval, ClientRequests.refuse; behaviour unchanged.

Measured: ConnectionLimitTest, PartialRequestShutdownTest, PlatformShutdownTest, DepartedClientTest, ClientInputTest passed.

--- a/edge/src/main/java/thistlefall/edge/loop/LongPassLog.java
+++ b/edge/src/main/java/thistlefall/edge/loop/LongPassLog.java
@@ -10,12 +10,11 @@
  */
 final class LongPassLog {
     private static final long LONG_PASS = 100_000_000L;
-    private static final long LOG_INTERVAL = 1_000_000_000L;
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final String nodeName;
     private final Logger log;
-    private long loggedAt = System.nanoTime() - LOG_INTERVAL;
+    private final LogInterval logInterval = new LogInterval();
 
     LongPassLog(String nodeName, Logger log) {
         this.nodeName = nodeName;
@@ -23,14 +22,9 @@
     }
 
     void passEnded(long duration, LoopUsage usage) {
-        if (duration < LONG_PASS) {
+        if (duration < LONG_PASS || !logInterval.tryLog()) {
             return;
         }
-        long now = System.nanoTime();
-        if (now - loggedAt < LOG_INTERVAL) {
-            return;
-        }
-        loggedAt = now;
         log.atWarn()
                 .addKeyValue("node", nodeName)
                 .addKeyValue("sockets_ms", usage.inCurrentPass(Work.SOCKETS) / NANOS_PER_MILLI)
--- a/edge/src/main/java/thistlefall/edge/node/ClientRequests.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientRequests.java
@@ -58,8 +58,12 @@
 
     /** Refuses the request of a connection beyond the limit; the connection closes after it. */
     void refuseBeyondLimit(RequestContext requestContext) {
-        FailureCause cause = draining.getAsBoolean() ? FailureCause.STOPPING : FailureCause.FULL;
         metrics.requests++;
+        refuse(requestContext);
+    }
+
+    private void refuse(RequestContext requestContext) {
+        FailureCause cause = draining.getAsBoolean() ? FailureCause.STOPPING : FailureCause.FULL;
         metrics.countRefused(cause);
         requestContext.clientConnection.sendProblem(requestContext, ProblemDetails.refused(cause, 0));
     }
@@ -73,9 +77,7 @@
     /** Accepts a request, or refuses it and returns false if the node is draining or at its limit of open requests. */
     boolean accept(RequestContext requestContext, RequestClass requestClass, long clientTimeout) {
         if (draining.getAsBoolean() || !activeRequests.hasCapacity(requestClass)) {
-            FailureCause cause = draining.getAsBoolean() ? FailureCause.STOPPING : FailureCause.FULL;
-            metrics.countRefused(cause);
-            requestContext.clientConnection.sendProblem(requestContext, ProblemDetails.refused(cause, 0));
+            refuse(requestContext);
             return false;
         }
         activeRequests.accept(requestContext, requestClass, requestContext.arrivedAt + clientTimeout);
--- a/edge/src/main/java/thistlefall/edge/node/ConnectionAcceptor.java
+++ b/edge/src/main/java/thistlefall/edge/node/ConnectionAcceptor.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
+import thistlefall.edge.loop.LogInterval;
 
 /**
  * Pauses and resumes accepting on the listener of a node. While the node may hold no further connection, new ones wait
@@ -14,12 +15,11 @@
  */
 final class ConnectionAcceptor extends ChannelInboundHandlerAdapter {
     static final long PAUSE_MILLIS = 10;
-    private static final long LOG_INTERVAL_NANOS = 1_000_000_000L;
 
     private final Logger log;
     private final NodeMetrics metrics;
     private final ClientConnectionManager connectionManager;
-    private long loggedAt = System.nanoTime() - LOG_INTERVAL_NANOS;
+    private final LogInterval logInterval = new LogInterval();
     private Channel listener;
     private boolean pausedAfterFailure;
     private boolean closing;
@@ -86,9 +86,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         metrics.acceptFailures++;
-        long now = System.nanoTime();
-        if (now - loggedAt >= LOG_INTERVAL_NANOS) {
-            loggedAt = now;
+        if (logInterval.tryLog()) {
             log.warn("can't accept a connection: {}", cause.getMessage());
         }
         pausedAfterFailure = true;
