Count input that is answered with an error, by its status

Change: counts input_errors_*; ClientConnection sets such an error in one place (inputFailed), where the same two lines stood six times.

Measured: PlatformClientsTest finds the two requests that are answered 408 in input_errors_408; the tests of clients, limits, shutdown and departed clients passed.

--- a/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
+++ b/edge/src/main/java/thistlefall/edge/node/ClientConnection.java
@@ -57,7 +57,7 @@
     /** The surplus request whose body is being received and discarded; null otherwise. */
     private SurplusRequest receivingSurplus;
 
-    private MalformedMessageException decodeError;
+    private MalformedMessageException inputError;
     private final ConnectionLifecycle lifecycle = new ConnectionLifecycle();
     private boolean dispatching;
     private boolean receiveTimerActive;
@@ -117,7 +117,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-        if (!lifecycle.acceptsRequests() || decodeError != null) {
+        if (!lifecycle.acceptsRequests() || inputError != null) {
             ReferenceCountUtil.release(message);
             decoder.discardInput();
         } else if (message instanceof MessageHead.RequestHead head) {
@@ -127,8 +127,7 @@
         } else if (message instanceof BodyEnd bodyEnd) {
             requestReceived(bodyEnd);
         } else if (message instanceof MalformedMessageException malformedMessage) {
-            decodeError = malformedMessage;
-            handleDecodeError();
+            inputFailed(malformedMessage);
         }
         memory.update();
         updateAutoRead();
@@ -170,8 +169,7 @@
             return;
         }
         // The request was never sent to a server, so the client may repeat it. The rest of it is not parsed.
-        decodeError = new MalformedMessageException(503, "too many long bodies at once");
-        handleDecodeError();
+        inputFailed(new MalformedMessageException(503, "too many long bodies at once"));
     }
 
     /** Makes a surplus request of the one whose body is being received. */
@@ -221,8 +219,7 @@
             pendingRequests.addSurplus();
             writeDueRefusals();
         } else {
-            decodeError = new MalformedMessageException(503, "too many requests at once on one connection");
-            handleDecodeError();
+            inputFailed(new MalformedMessageException(503, "too many requests at once on one connection"));
         }
     }
 
@@ -276,8 +273,7 @@
         receiveTimerActive = false;
         connectionManager.setIncomplete(this, false);
         if (isPartiallyReceived()) {
-            decodeError = new MalformedMessageException(408, "the request took too long to come");
-            handleDecodeError();
+            inputFailed(new MalformedMessageException(408, "the request took too long to come"));
         }
     }
 
@@ -322,10 +318,9 @@
     private void updateUndecodedBytes() {
         // What waits for its turn has a budget of its own.
         boolean allowed = memory.tryHoldUndecoded(decoder.isHeldBack() ? 0 : decoder.undecodedBytes());
-        boolean acceptable = allowed || decodeError != null || !lifecycle.acceptsRequests();
+        boolean acceptable = allowed || inputError != null || !lifecycle.acceptsRequests();
         if (!acceptable) {
-            decodeError = new MalformedMessageException(503, "too many incomplete requests at once");
-            handleDecodeError();
+            inputFailed(new MalformedMessageException(503, "too many incomplete requests at once"));
         }
     }
 
@@ -344,7 +339,7 @@
     private boolean isPartiallyReceived() {
         return !decoder.isIdle()
                 && (receivingRequest == null || dialect.buffersRequests())
-                && decodeError == null
+                && inputError == null
                 && lifecycle.acceptsRequests()
                 && !decoder.isHeldBack();
     }
@@ -375,7 +370,7 @@
             dispatching = false;
         }
         if (pendingRequests.isEmpty()) {
-            handleDecodeError();
+            respondToInputError();
         }
     }
 
@@ -398,9 +393,16 @@
         return true;
     }
 
-    /** Responds to a malformed message once all requests before it have their responses. */
-    private void handleDecodeError() {
-        if (decodeError == null) {
+    /** Takes nothing more from the client, because its input is malformed, incomplete for too long, or too much. */
+    private void inputFailed(MalformedMessageException error) {
+        inputError = error;
+        metrics.countInputError(error.status());
+        respondToInputError();
+    }
+
+    /** Responds to failed input once all requests before it have their responses. */
+    private void respondToInputError() {
+        if (inputError == null) {
             return;
         }
         if (receivingRequest != null) {
@@ -409,7 +411,7 @@
             receivingRequest = null;
             if (brokenRequest == pendingRequests.first() && !brokenRequest.responseStarted) {
                 clientRequests.requestBodyFailed(
-                        brokenRequest, ProblemDetails.clientError(decodeError.status(), decodeError.getMessage()));
+                        brokenRequest, ProblemDetails.clientError(inputError.status(), inputError.getMessage()));
             } else {
                 pendingRequests.removeIncomplete(brokenRequest);
                 brokenRequest.body.release();
@@ -418,7 +420,7 @@
         }
         if (pendingRequests.isEmpty() && channel.isActive() && !lifecycle.outputShut()) {
             writeProblem(
-                    ProblemDetails.clientError(decodeError.status(), decodeError.getMessage()),
+                    ProblemDetails.clientError(inputError.status(), inputError.getMessage()),
                     lifecycle.announcesClose(true, 0));
             shutOutputIfFinished();
         }
@@ -505,7 +507,7 @@
     /** Whether a response is owed to an incomplete head, an incomplete surplus request or a malformed message. */
     private boolean owesResponseOutsidePipeline() {
         boolean incompleteHead = receivingRequest == null && lifecycle.acceptsRequests() && !decoder.isIdle();
-        return decodeError != null || receivingSurplus != null || incompleteHead;
+        return inputError != null || receivingSurplus != null || incompleteHead;
     }
 
     /** Whether the response to the first pending request must announce that the connection closes after it. */
@@ -745,9 +747,8 @@
 
     private void refuseIncompleteRequest(String reason) {
         closeAfterPendingResponses();
-        if (decodeError == null && (receivingRequest != null || owesResponseOutsidePipeline())) {
-            decodeError = new MalformedMessageException(503, reason);
-            handleDecodeError();
+        if (inputError == null && (receivingRequest != null || owesResponseOutsidePipeline())) {
+            inputFailed(new MalformedMessageException(503, reason));
         }
     }
 
--- a/edge/src/main/java/thistlefall/edge/node/NodeMetrics.java
+++ b/edge/src/main/java/thistlefall/edge/node/NodeMetrics.java
@@ -11,6 +11,8 @@
  */
 public final class NodeMetrics {
     private static final long NANOS_PER_MICRO = 1_000L;
+    /** The statuses of HTTP are below this. */
+    private static final int STATUSES = 600;
 
     long requests;
     long served;
@@ -51,6 +53,8 @@
     private final long[] attemptsByOutcome = new long[Outcome.values().length];
     private final long[] endedByCause = new long[ConnectionEnd.values().length];
     private final long[] refusedByCause = new long[FailureCause.values().length];
+    /** The input that was answered with an error instead of being decoded further, by the status of the response. */
+    private final long[] inputErrorsByStatus = new long[STATUSES];
 
     NodeMetrics() {}
 
@@ -59,6 +63,10 @@
         refusedByCause[cause.ordinal()]++;
     }
 
+    void countInputError(int status) {
+        inputErrorsByStatus[status]++;
+    }
+
     void countAttemptEnd(Outcome outcome) {
         attemptsByOutcome[outcome.ordinal()]++;
     }
@@ -68,8 +76,8 @@
     }
 
     /**
-     * Returns the counts by name in a fixed order; attempts per outcome, refusals and ended connections per cause are
-     * included only if there are any.
+     * Returns the counts by name in a fixed order; attempts per outcome, refusals and ended connections per cause, and
+     * failed input per status are included only if there are any.
      */
     public Map<String, Long> asMap() {
         var map = new LinkedHashMap<String, Long>();
@@ -120,6 +128,11 @@
                 map.put("refused_" + cause.code().replace('-', '_'), refusedByCause[cause.ordinal()]);
             }
         }
+        for (int status = 0; status < STATUSES; status++) {
+            if (inputErrorsByStatus[status] > 0) {
+                map.put("input_errors_" + status, inputErrorsByStatus[status]);
+            }
+        }
         return map;
     }
 }
