A usual request is handled in one turn, however slow the first steps are

Cause: the turn after a read ended after 100 us also within the request that was read. Slow or uncompiled code needs that for a head, so the body waited for another turn although its client sends one request at a time, which is never to wait; a close behind it then found the request incomplete.

Change: after a read four steps of the same request are taken whatever time they need, which a head and its body fit into; a body in many chunks goes on in turns as before.

TurnQueueTest wanted the second step after a read refused when it is late; that is wanted of the fifth now, and of the second after a wait as before.

--- a/core/src/main/java/thistlefall/turn/InputTurn.java
+++ b/core/src/main/java/thistlefall/turn/InputTurn.java
@@ -6,13 +6,15 @@
  * is bounded by time. Times are nanoseconds of one clock. Not thread-safe.
  */
 public final class InputTurn {
-    /** The longest turn, except that its last step is completed. */
+    /** The longest turn, except that its first steps are always taken and its last step is completed. */
     static final long MAX_DURATION = 100_000L;
+    /** The steps after a read that are taken whatever time they need: enough for a usual head and its body. */
+    static final int MIN_STEPS_AFTER_READ = 4;
 
     private long beganAt;
     private boolean endsAfterRequest;
     private boolean requestHandled;
-    private boolean stepTaken;
+    private int steps;
 
     /** Begins the turn directly after a read. */
     public void beginAfterRead(long now) {
@@ -28,7 +30,7 @@
         beganAt = now;
         endsAfterRequest = singleRequest;
         requestHandled = false;
-        stepTaken = false;
+        steps = 0;
     }
 
     /** Records that a request has been handled to its last byte. */
@@ -38,11 +40,15 @@
 
     /**
      * Returns whether a step that is to be taken now belongs to this turn. The first one always does, also if the
-     * process was held up since the turn began.
+     * process was held up since the turn began; after a read so do the next few of the same request.
      */
     public boolean mayTakeStep(long now) {
-        boolean first = !stepTaken;
-        stepTaken = true;
-        return first || !(endsAfterRequest && requestHandled) && now - beganAt < MAX_DURATION;
+        steps++;
+        boolean nextRequest = endsAfterRequest && requestHandled;
+        return !nextRequest && (steps <= minSteps() || now - beganAt < MAX_DURATION);
+    }
+
+    private int minSteps() {
+        return endsAfterRequest ? MIN_STEPS_AFTER_READ : 1;
     }
 }
--- a/core/src/test/java/thistlefall/turn/TurnQueueTest.java
+++ b/core/src/test/java/thistlefall/turn/TurnQueueTest.java
@@ -53,9 +53,24 @@
         var turn = new InputTurn();
         turn.beginAfterRead(0);
         assertTrue(turn.mayTakeStep(10 * InputTurn.MAX_DURATION));
-        assertFalse(turn.mayTakeStep(10 * InputTurn.MAX_DURATION));
         turn.beginAfterWait(0);
         assertTrue(turn.mayTakeStep(10 * InputTurn.MAX_DURATION));
+        assertFalse(turn.mayTakeStep(10 * InputTurn.MAX_DURATION));
+    }
+
+    /** Guards against a usual request that waits for a turn because the machine is slow or the code not compiled. */
+    @Test
+    void stepsOfAUsualRequestAreTakenAfterItsReadHoweverLongTheyTake() {
+        var turn = new InputTurn();
+        turn.beginAfterRead(0);
+        for (int step = 1; step <= InputTurn.MIN_STEPS_AFTER_READ; step++) {
+            assertTrue(turn.mayTakeStep(step * InputTurn.MAX_DURATION));
+        }
+        assertFalse(turn.mayTakeStep(10 * InputTurn.MAX_DURATION));
+        turn.beginAfterRead(0);
+        assertTrue(turn.mayTakeStep(0));
+        turn.requestHandled();
+        assertFalse(turn.mayTakeStep(0));
     }
 
     @Test
