--- a/edge/src/main/java/thistlefall/edge/node/Attempt.java
+++ b/edge/src/main/java/thistlefall/edge/node/Attempt.java
@@ -61,14 +61,8 @@
     /** The bytes of the request that the server's socket has not accepted yet, if it is written as a whole. */
     private int unsentBytes;
 
-    /** Whether it waits until the input of its client has been read, so that a close behind it is known. */
-    private boolean waitsForClientInput;
-
-    /** Since when it waits for that, or did last; 0 if it never has. */
-    private long heldUpSince;
-
-    /** How long it has waited for that: time of its client, not of its server. */
-    private long heldUpTime;
+    /** How long the request had waited for its client's input when this attempt began. */
+    private final long inputWaitBefore;
 
     private boolean clientGone;
     private boolean forwarding;
@@ -76,6 +70,9 @@
     private boolean ended;
     private boolean outcomeReported;
     private TimingWheel.ScheduledTimeout<Runnable> deadlineTimeout;
+    /** Ends the attempt if its client does not stop sending; null unless it waits for that. */
+    private TimingWheel.ScheduledTimeout<Runnable> inputWaitTimeout;
+
     /** Ends the attempt if it has not been sent in time; null once it has been. */
     private TimingWheel.ScheduledTimeout<Runnable> sendTimeout;
 
@@ -84,6 +81,7 @@
         this.requestContext = requestContext;
         this.serverId = serverId;
         this.number = number;
+        inputWaitBefore = requestContext.inputWait.total();
     }
 
     String serverId() {
@@ -146,24 +144,36 @@
             }
             case UNKNOWN -> {
                 acquiredConnection.release();
-                waitsForClientInput = true;
-                heldUpSince = System.nanoTime();
+                awaitClientInput();
             }
         }
     }
 
+    /** Waits until the input of the client has been read, so that a close behind it is known. */
+    private void awaitClientInput() {
+        long maxWait = requestContext.inputWait.begin(System.nanoTime());
+        if (maxWait == 0) {
+            end(EndReason.NOT_STARTED);
+        } else {
+            inputWaitTimeout = executor.eventLoopTimer().schedule(maxWait, () -> end(EndReason.NOT_STARTED));
+        }
+    }
+
     /** Continues an attempt that waits until the input of its client has been read. */
     void clientInputRead() {
-        if (!waitsForClientInput
-                || ended
-                || requestContext.clientConnection.presence() == ClientPresence.State.UNKNOWN) {
+        if (inputWaitTimeout == null || requestContext.clientConnection.presence() == ClientPresence.State.UNKNOWN) {
             return;
         }
-        waitsForClientInput = false;
-        heldUpTime += System.nanoTime() - heldUpSince;
+        endInputWait();
         acquireConnection();
     }
 
+    private void endInputWait() {
+        executor.eventLoopTimer().cancel(inputWaitTimeout);
+        inputWaitTimeout = null;
+        requestContext.inputWait.end(System.nanoTime());
+    }
+
     private void acquireConnection() {
         boolean headRequest = requestContext.head.method().equals("HEAD");
         confirmation = executor.acquireConnection(pool, this, headRequest, sendLimits.proof());
@@ -257,7 +267,13 @@
     /** Ends the attempt because its time is over; its server is not to blame if its client has held it up. */
     private void endOverdue() {
         boolean written = progress.compareTo(AttemptProgress.WRITTEN) >= 0;
-        end(heldUpSince != 0 && !written ? EndReason.NOT_STARTED : EndReason.OVERDUE);
+        boolean heldUp = inputWaitTimeout != null || inputWait() > 0;
+        end(heldUp && !written ? EndReason.NOT_STARTED : EndReason.OVERDUE);
+    }
+
+    /** Returns how long this attempt has waited for the input of its client, which is not its server's time. */
+    private long inputWait() {
+        return requestContext.inputWait.total() - inputWaitBefore;
     }
 
     /** Takes the attempt back if no byte of it has been sent. */
@@ -453,6 +469,7 @@
         responseBuffer.release();
         executor.eventLoopTimer().cancel(deadlineTimeout);
         cancelSendTimeout();
+        endInputWait();
         if (confirmation != null) {
             confirmation.cancel();
         }
@@ -482,7 +499,7 @@
         executor.attemptLog().ended(requestContext, this, outcome, endReason, progress);
         List<Double> loadReport = head == null ? List.of() : executor.loadReport(head.fields());
         double trueUnits = head == null ? 0 : executor.dialect().trueUnits(head.fields());
-        long duration = System.nanoTime() - startedAt - heldUpTime;
+        long duration = System.nanoTime() - startedAt - inputWait();
         executor.attemptEnded(requestContext, this, new AttemptResult(outcome, duration, trueUnits, loadReport));
     }
 }
--- a/edge/src/main/java/thistlefall/edge/node/RequestContext.java
+++ b/edge/src/main/java/thistlefall/edge/node/RequestContext.java
@@ -1,5 +1,6 @@
 package thistlefall.edge.node;
 
+import thistlefall.attempt.ClientInputWait;
 import thistlefall.edge.http.MessageHead;
 import thistlefall.memory.MemoryBudget;
 import thistlefall.request.RequestTracker;
@@ -39,6 +40,9 @@
 
     TokenKey tokenKey;
     String customerName;
+    /** How long its attempts have waited for the input of its client. */
+    final ClientInputWait inputWait = new ClientInputWait();
+
     Attempt currentAttempt;
     /** The first attempt that may have run; null if there is none. */
     Attempt possibleRun;
